--- /dev/null
+++ b/balsamdeal/__init__.py
@@ -0,0 +1,3 @@
+"""balsamdeal distributes configuration through a service mesh and routes by it."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/balsamdeal/cli.py
@@ -0,0 +1,286 @@
+"""``balsamdeal``: the operators' tool. It reads folders and nodes, never writes."""
+
+import argparse
+import json
+import sys
+import time
+import urllib.error
+import urllib.parse
+import urllib.request
+from concurrent.futures import ThreadPoolExecutor
+
+from balsamdeal.errors import BalsamdealError, ContentError
+from balsamdeal.folders import render_folder
+
+EXIT_OK = 0
+EXIT_NEGATIVE = 1
+EXIT_USAGE = 2
+NODE_TIMEOUT_S = 2.0
+POLL_S = 0.1
+MAX_PARALLEL = 32
+
+
+class NodeError(BalsamdealError):
+    """A node's operators' address did not answer."""
+
+
+def fetch_node(address, path, text=False):
+    """Return what a node answers on its operators' address.
+
+    :param address: ``IP:port``.
+    :param path: the path with its query.
+    :param text: whether to return text in place of parsed JSON.
+    :raises NodeError: when it does not answer.
+    """
+    url = f"http://{address}{path}"
+    try:
+        with urllib.request.urlopen(url, timeout=NODE_TIMEOUT_S) as response:
+            body = response.read()
+    except urllib.error.HTTPError as error:
+        body = error.read()
+    except (OSError, ValueError) as error:
+        raise NodeError(str(error), "fetch", address) from error
+    return body.decode() if text else json.loads(body)
+
+
+def fetch_all(addresses, path):
+    """Return each node's answer, or its ``NodeError``, by address."""
+
+    def fetch(address):
+        try:
+            return fetch_node(address, path)
+        except NodeError as error:
+            return error
+
+    with ThreadPoolExecutor(MAX_PARALLEL) as pool:
+        return dict(zip(addresses, pool.map(fetch, addresses)))
+
+
+def _describe_routes(snapshot):
+    return [
+        {
+            "workspace": workspace,
+            "methods": sorted(route.methods),
+            "path": route.prefix,
+            "service": route.service.name,
+            "class": route.traffic_class.name,
+            "idempotent_methods": sorted(route.idempotent_methods),
+            "timeout_s": route.traffic_class.timeout_s,
+        }
+        for workspace, routes in sorted(snapshot.routes.items())
+        for route in routes
+    ]
+
+
+def validate(arguments):
+    """Check a folder offline."""
+    try:
+        snapshot = render_folder(arguments.folder)
+    except ContentError as error:
+        fault = {"step": error.step, "part": error.peer, "reason": error.message}
+        if arguments.json:
+            print(json.dumps({"valid": False, "fault": fault}, ensure_ascii=False))
+        else:
+            print(f"{error.peer}: {error.step}: {error.message}")
+        return EXIT_NEGATIVE
+    count = sum(len(routes) for routes in snapshot.routes.values())
+    summary = {
+        "valid": True,
+        "services": len(snapshot.services),
+        "workspaces": len(snapshot.routes),
+        "routes": count,
+        "digest": snapshot.version.digest,
+    }
+    if arguments.json:
+        print(json.dumps(summary))
+    else:
+        print(
+            f"valid: {summary['services']} services, {summary['workspaces']} "
+            f"workspaces, {count} routes, digest {summary['digest']}"
+        )
+    return EXIT_OK
+
+
+def render(arguments):
+    """Print the routes that a folder renders to."""
+    try:
+        routes = _describe_routes(render_folder(arguments.folder))
+    except ContentError as error:
+        print(f"{error.peer}: {error.step}: {error.message}", file=sys.stderr)
+        return EXIT_NEGATIVE
+    if arguments.json:
+        print(json.dumps(routes, ensure_ascii=False))
+        return EXIT_OK
+    for route in routes:
+        methods = ",".join(route["methods"])
+        print(
+            f"{route['workspace']}: {methods} {route['path']} -> {route['service']} "
+            f"({route['class']}, {route['timeout_s']:g} s)"
+        )
+    return EXIT_OK
+
+
+def _print_status(address, status):
+    config = status["channels"]["config"]
+    print(
+        f"{status['vm']} ({status['failure_domain']}) revision {config['revision']} "
+        f"digest {config['digest']} age {config['age_s']} s, source "
+        f"{config['source_state']}, heard {status['source_age_s']} s ago, "
+        f"{'ready' if status['ready'] else 'not ready'}"
+    )
+    if config["source_reason"]:
+        print(f"  source: {config['source_reason']}")
+    rejected = config["last_rejected"]
+    if rejected:
+        print(f"  rejected revision {rejected['revision']}: {rejected['reason']}")
+
+
+def show_status(arguments):
+    """Print the status of each node; fail if one does not answer."""
+    answers = fetch_all(arguments.nodes, "/status")
+    failed = False
+    report = {}
+    for address, answer in answers.items():
+        if isinstance(answer, NodeError):
+            failed = True
+            report[address] = {"error": str(answer)}
+            if not arguments.json:
+                print(f"{address}: no answer: {answer.message}")
+            continue
+        report[address] = answer
+        if not arguments.json:
+            _print_status(address, answer)
+    if arguments.json:
+        print(json.dumps(report, ensure_ascii=False))
+    return EXIT_NEGATIVE if failed else EXIT_OK
+
+
+def explain(arguments):
+    """Print where a request would go."""
+    query = urllib.parse.urlencode(
+        {
+            "workspace": arguments.workspace,
+            "method": arguments.method,
+            "path": arguments.path,
+        }
+    )
+    answer = fetch_node(arguments.node, f"/explain?{query}")
+    if arguments.json:
+        print(json.dumps(answer, ensure_ascii=False))
+    elif "route" not in answer:
+        print(answer["reason"])
+    else:
+        print(
+            f"{arguments.method} {arguments.path} -> {answer['service']} by route "
+            f"{answer['route']} of revision {answer['revision']}, class "
+            f"{answer['class']}, "
+            f"{'idempotent' if answer['idempotent'] else 'not idempotent'}"
+        )
+        for item in answer["candidates"]:
+            state = "usable" if item["usable"] else ", ".join(item["reasons"])
+            print(
+                f"  {item['vm']} ({item['failure_domain']}): {state}, utilization "
+                f"{item['utilization']}, latency {item['latency_ms']} ms"
+            )
+    return EXIT_OK if "route" in answer else EXIT_NEGATIVE
+
+
+def _holds(answer, revision, digest):
+    if isinstance(answer, NodeError):
+        return False
+    held = answer["channels"]["config"]
+    if digest and held["revision"] == revision and held["digest"] != digest:
+        return False
+    return held["revision"] >= revision
+
+
+def wait(arguments):
+    """Wait until a revision, or a newer one, is in force on each node."""
+    deadline_s = time.monotonic() + arguments.timeout_s
+    last = -1
+    while True:
+        answers = fetch_all(arguments.nodes, "/status")
+        holding = [
+            address
+            for address, answer in answers.items()
+            if _holds(answer, arguments.revision, arguments.digest)
+        ]
+        missing = sorted(set(answers) - set(holding))
+        if len(holding) != last and not arguments.json:
+            last = len(holding)
+            print(f"in force on {last} of {len(answers)} nodes", flush=True)
+        done = not missing
+        if done or time.monotonic() >= deadline_s:
+            break
+        time.sleep(POLL_S)
+    if arguments.json:
+        print(json.dumps({"in_force": len(holding), "missing": missing}))
+    elif missing:
+        print("not in force on: " + ", ".join(missing))
+    return EXIT_OK if done else EXIT_NEGATIVE
+
+
+def show_metrics(arguments):
+    """Print a node's counters and latencies."""
+    if arguments.json:
+        print(json.dumps(fetch_node(arguments.node, "/metrics.json")))
+    else:
+        print(fetch_node(arguments.node, "/metrics", text=True), end="")
+    return EXIT_OK
+
+
+def make_parser():
+    """Return the argument parser of the operators' tool."""
+    parser = argparse.ArgumentParser(prog="balsamdeal", description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+
+    def add(name, function, text):
+        command = commands.add_parser(name, help=text, description=text)
+        command.add_argument("--json", action="store_true", help="print JSON")
+        command.set_defaults(run=function)
+        return command
+
+    command = add("validate", validate, "check a folder of templates, offline")
+    command.add_argument("folder")
+    command = add("render", render, "print the routes of a folder, offline")
+    command.add_argument("folder")
+    command = add("status", show_status, "print what each node runs")
+    command.add_argument("nodes", nargs="+", help="operators' addresses, IP:port")
+    command = add("explain", explain, "print where a request would go, and why")
+    command.add_argument("node", help="a node's operators' address")
+    command.add_argument("workspace")
+    command.add_argument("path")
+    command.add_argument("--method", default="GET")
+    command = add("wait", wait, "wait until a revision is in force everywhere")
+    command.add_argument("revision", type=int)
+    command.add_argument("nodes", nargs="+", help="operators' addresses, IP:port")
+    command.add_argument("--digest", default="", help="expected digest")
+    command.add_argument("--timeout-s", type=float, default=30.0)
+    command = add("metrics", show_metrics, "print a node's counters and latencies")
+    command.add_argument("node", help="a node's operators' address")
+    return parser
+
+
+def parse_arguments(argv=None):
+    """Return the parsed command line.
+
+    :param argv: the command line without the program's name.
+    """
+    return make_parser().parse_args(argv)
+
+
+def main(argv=None):
+    """Run the tool; return 0, 1 for a negative result, 2 for wrong usage.
+
+    :param argv: the command line without the program's name.
+    """
+    arguments = parse_arguments(argv)
+    try:
+        return arguments.run(arguments)
+    except NodeError as error:
+        print(f"balsamdeal: {error}", file=sys.stderr)
+        return EXIT_NEGATIVE
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/balsamdeal/core/distribution.py
@@ -0,0 +1,523 @@
+"""Distribution of versions: from the source to a few watchers, then peer to peer.
+
+Two watchers in each failure domain wait on the source. A node that applies a newer
+version announces it to its children in the domain's relay tree and to a random
+peer elsewhere; each node also compares views with a peer at intervals, which heals
+what announcements missed. A version is applied whole and never replaced by an
+older one. Pure: see ``events`` and ``effects``.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from balsamdeal.core import effects, events
+from balsamdeal.core.membership import REFUSED, WATCHERS_PER_DOMAIN
+from balsamdeal.documents import (
+    CHANNELS,
+    CONFIG,
+    NO_VERSION,
+    VMS,
+    apply_delta,
+    compute_delta,
+)
+from balsamdeal.errors import ContentError, DocumentError
+from balsamdeal.snapshots import read_vms, render_snapshot
+
+DIRECT = "direct"
+TREE = "tree"
+GOSSIP = "gossip"
+VARIANTS = (DIRECT, TREE, GOSSIP)
+
+WATCH_WAIT_S = 10.0
+COMPARE_INTERVAL_S = 2.5
+START_COMPARE_INTERVAL_S = 0.25
+START_PEERS = 3
+START_BOUND_S = 2.0
+STARTS_PER_S = 80.0
+PULL_TIMEOUT_S = 2.0
+SOURCE_AGE_BOUND_S = 10.0
+PROBE_INTERVAL_S = 30.0
+SOURCE_BACKOFF_BASE_S = 0.5
+SOURCE_BACKOFF_MAX_S = 3.0
+STALE_PAUSE_S = 1.0
+EMPTY_PAUSE_S = 1.0
+TREE_ARITY = 8
+GOSSIP_FANOUT = 4
+OUTSIDE_SHARE = 0.25
+HISTORY_LENGTH = 8
+REJECTED_LENGTH = 8
+
+
+@dataclass(slots=True)
+class SourceState:
+    """How one channel stands with the source; times in seconds."""
+
+    pending: bool = False
+    read_s: float = 0.0
+    next_read_s: float = 0.0
+    failures: int = 0
+    seen_revision: int = 0
+    state: str = "unread"
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class ChannelState:
+    """What this node holds of one channel."""
+
+    document: object = None
+    applied_s: float = 0.0
+    history: list = field(default_factory=list)
+    rejected: dict = field(default_factory=dict)
+    offers: dict = field(default_factory=dict)
+    pull_address: str = ""
+    pull_deadline_s: float = 0.0
+    source: SourceState = field(default_factory=SourceState)
+
+    @property
+    def version(self):
+        """The version in force, or NO_VERSION."""
+        return NO_VERSION if self.document is None else self.document.version
+
+
+class Distribution:
+    """State of distribution; changed in place, as copying tables costs too much.
+
+    :param membership: the ``Membership`` that VM lists are applied to.
+    :param variant: one of VARIANTS.
+    :param fleet_size: the expected number of nodes, which spreads starts.
+    :param seed: the seed of all random choices.
+    """
+
+    def __init__(self, membership, variant, fleet_size, seed):
+        self.membership = membership
+        self.variant = variant
+        self.fleet_size = fleet_size
+        self.random = Random(seed)
+        self.channels = {channel: ChannelState() for channel in CHANNELS}
+        self.snapshot = None
+        self.started_s = 0.0
+        self.started_wall_s = 0.0
+        self.starting = True
+        self.draining = False
+        self.source_heard_s = None
+        self.confirmed_s = 0.0
+        self.start_answers = set()
+        self.counters = {}
+        self._next_compare_s = 0.0
+
+    def count(self, name, amount=1):
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def get_source_age_s(self, now_s):
+        """Return the time since anybody known heard from the source, or None."""
+        if self.source_heard_s is None:
+            return None
+        return max(0.0, now_s - self.source_heard_s)
+
+    def make_view(self, now_s):
+        """Return what this node says of itself."""
+        own = self.membership.own
+        age_s = self.get_source_age_s(now_s)
+        return events.View(
+            own.name,
+            own.failure_domain,
+            own.peer_address,
+            self.started_wall_s,
+            {name: state.version for name, state in self.channels.items()},
+            None if age_s is None else round(age_s, 2),
+            self.starting,
+            self.draining,
+        )
+
+    # Start
+
+    def start(self, event):
+        """Begin: ask several seeds now, and the source at a random moment."""
+        self.started_s = event.now_s
+        self.started_wall_s = event.wall_s
+        spread_s = self.fleet_size / STARTS_PER_S
+        for state in self.channels.values():
+            state.source.next_read_s = event.now_s + self.random.random() * spread_s
+        return self._ask_seeds(event.now_s)
+
+    def _ask_seeds(self, now_s):
+        self._next_compare_s = now_s + START_COMPARE_INTERVAL_S
+        seeds = self.membership.seeds or tuple(
+            vm.peer_address
+            for vm in self.membership.vms.values()
+            if vm.name != self.membership.own.name
+        )
+        chosen = self.random.sample(seeds, min(START_PEERS, len(seeds)))
+        view = self.make_view(now_s)
+        return [effects.SendView(item, view, effects.COMPARE) for item in chosen]
+
+    def _finish_start(self, now_s):
+        """Serve once the newest version of the peers asked is held, or time is up."""
+        if not self.starting or self.snapshot is None:
+            return []
+        expected = min(START_PEERS, len(self.membership.seeds))
+        asked = len(self.start_answers) >= expected
+        behind = any(
+            offer > state.version
+            for state in self.channels.values()
+            for offer in state.offers.values()
+        )
+        complete = asked and not behind and self.channels[VMS].document is not None
+        if not complete and now_s - self.started_s < START_BOUND_S:
+            return []
+        self.starting = False
+        self._next_compare_s = now_s + self.random.random() * COMPARE_INTERVAL_S
+        return [
+            effects.ReportChange(
+                "serving", {"revision": self.channels[CONFIG].version.revision}
+            )
+        ]
+
+    # Time
+
+    def tick(self, now_s):
+        """Do what is due: source reads, comparisons, overdue pulls."""
+        result = []
+        for channel in CHANNELS:
+            result += self._read_source_if_due(channel, now_s)
+            state = self.channels[channel]
+            if state.pull_address and now_s > state.pull_deadline_s:
+                result += self._fail_pull(channel, state.pull_address, now_s)
+        if now_s >= self._next_compare_s:
+            result += self._compare(now_s)
+        result += self._finish_start(now_s)
+        self.membership.forget_departed(now_s)
+        view = self.make_view(now_s)
+        result += [
+            effects.SendView(address, view, effects.COMPARE)
+            for address in self.membership.list_refusing(now_s)
+        ]
+        return result
+
+    def resume(self, now_s):
+        """After a pause, compare at once with several peers."""
+        self.confirmed_s = min(self.confirmed_s, now_s - COMPARE_INTERVAL_S)
+        addresses = self.membership.list_peers(now_s, True)
+        addresses += self.membership.list_peers(now_s, False)
+        chosen = self.random.sample(addresses, min(START_PEERS, len(addresses)))
+        view = self.make_view(now_s)
+        return [effects.SendView(item, view, effects.COMPARE) for item in chosen]
+
+    def _compare(self, now_s):
+        if self.starting:
+            return self._ask_seeds(now_s)
+        self._next_compare_s = now_s + COMPARE_INTERVAL_S * self.random.uniform(
+            0.5, 1.5
+        )
+        if self.variant == DIRECT:
+            return []
+        address = self._choose_comparison_peer(now_s)
+        if address is None:
+            return self._ask_seeds(now_s) if not self.membership.vms else []
+        return [effects.SendView(address, self.make_view(now_s), effects.COMPARE)]
+
+    def _choose_comparison_peer(self, now_s):
+        own_domain = self.random.random() >= OUTSIDE_SHARE
+        peers = self.membership.list_peers(now_s, own_domain)
+        peers = peers or self.membership.list_peers(now_s, not own_domain)
+        if not peers:
+            return None
+        ranking = self.membership.rank_domain(CONFIG)[:2]
+        if own_domain and self.random.random() < 0.5:
+            # Asking a watcher finds out soon when it has died.
+            watchers = [vm.peer_address for vm in ranking if vm.peer_address in peers]
+            peers = watchers or peers
+        return self.random.choice(peers)
+
+    # Source
+
+    def _is_reader(self, channel, now_s):
+        if self.variant == DIRECT or self.starting:
+            return True
+        return self.membership.is_watcher(channel, now_s)
+
+    def _read_source_if_due(self, channel, now_s):
+        state = self.channels[channel]
+        source = state.source
+        if source.pending or now_s < source.next_read_s:
+            return []
+        if self._is_reader(channel, now_s):
+            if self.starting and state.document is not None:
+                return []
+            wait_s = 0.0 if state.document is None else WATCH_WAIT_S
+        elif self._needs_probe(source, now_s):
+            wait_s = 0.0
+        else:
+            return []
+        source.pending = True
+        source.read_s = now_s
+        self.count("source_reads")
+        after = max(state.version.revision, source.seen_revision)
+        return [effects.ReadSource(channel, after if wait_s else 0, wait_s)]
+
+    def _needs_probe(self, source, now_s):
+        """Return whether this node asks the source as nobody else seems to.
+
+        The moment is drawn at random, so that few of many nodes ask, and the
+        first answer spreads and holds back the rest.
+        """
+        age_s = self.get_source_age_s(now_s)
+        if age_s is not None and age_s < SOURCE_AGE_BOUND_S:
+            return False
+        if now_s - source.next_read_s > 1.0:
+            source.next_read_s = now_s + self.random.random() * PROBE_INTERVAL_S
+            return False
+        return True
+
+    def take_source_answer(self, event):
+        """Apply what the source published, unless it is older than what is held."""
+        state = self.channels[event.channel]
+        source = state.source
+        source.pending = False
+        source.failures = 0
+        source.next_read_s = event.now_s
+        if event.document is None and event.now_s - source.read_s < EMPTY_PAUSE_S:
+            # A watch that ends early without news must not become a busy loop.
+            source.next_read_s = event.now_s + EMPTY_PAUSE_S
+        if event.revision < max(state.version.revision, source.seen_revision):
+            # A stale replica or a restored backup: never follow it back.
+            source.next_read_s = event.now_s + STALE_PAUSE_S * self.random.uniform(1, 2)
+            self.count("source_stale_answers")
+            reason = f"revision {event.revision} is older than {state.version.revision}"
+            return self._set_source_state(source, event.channel, "stale", reason)
+        source.seen_revision = event.revision
+        self.source_heard_s = event.now_s
+        self.confirmed_s = event.now_s
+        result = self._set_source_state(source, event.channel, "current", "")
+        if event.document is not None:
+            result += self._offer(event.channel, event.document, event.now_s)
+        return result
+
+    def take_source_failure(self, event):
+        """Try again later, with full jitter and a bounded delay."""
+        source = self.channels[event.channel].source
+        source.pending = False
+        source.failures += 1
+        bound_s = min(
+            SOURCE_BACKOFF_MAX_S, SOURCE_BACKOFF_BASE_S * 2 ** min(source.failures, 8)
+        )
+        if self.starting:
+            bound_s = max(bound_s, self.fleet_size / STARTS_PER_S)
+        source.next_read_s = event.now_s + self.random.random() * bound_s
+        self.count("source_failures")
+        reason = f"step={event.step}: {event.reason}"
+        return self._set_source_state(source, event.channel, "failing", reason)
+
+    def _set_source_state(self, source, channel, state, reason):
+        source.reason = reason
+        if source.state == state:
+            return []
+        source.state = state
+        fields = {"channel": channel, "state": state, "reason": reason}
+        return [effects.ReportChange("source", fields)]
+
+    # Peers
+
+    def take_view(self, view, now_s):
+        """Learn from a peer's view; pull what it has newer."""
+        membership = self.membership
+        membership.trust(view.address)
+        membership.note_draining(view.vm, view.draining, now_s)
+        membership.note_revision(view.vm, view.versions[VMS].revision)
+        if view.source_age_s is not None:
+            heard_s = now_s - view.source_age_s
+            self.source_heard_s = max(self.source_heard_s or heard_s, heard_s)
+        result = []
+        for channel in CHANNELS:
+            version = view.versions[channel]
+            result += self.take_offer(channel, view.address, version, now_s)
+        return result
+
+    def take_answer(self, event):
+        """Learn from a peer's answer to our comparison."""
+        if self.starting:
+            self.start_answers.add(event.view.address)
+        result = self.take_view(event.view, event.now_s)
+        if all(
+            event.view.versions[channel] <= state.version
+            for channel, state in self.channels.items()
+        ):
+            self.confirmed_s = event.now_s
+        return result + self._finish_start(event.now_s)
+
+    def take_offer(self, channel, address, version, now_s):
+        """Pull a version that a peer holds if it is newer than ours."""
+        state = self.channels[channel]
+        if version <= state.version or version in state.rejected:
+            return []
+        state.offers[address] = version
+        return self._pull(channel, now_s)
+
+    def _pull(self, channel, now_s):
+        state = self.channels[channel]
+        if state.pull_address or not state.offers:
+            return []
+        newest = max(state.offers.values())
+        if newest <= state.version:
+            state.offers.clear()
+            return []
+        holders = [item for item, version in state.offers.items() if version == newest]
+        state.pull_address = self.random.choice(holders)
+        state.pull_deadline_s = now_s + PULL_TIMEOUT_S
+        base = None if state.document is None else state.version
+        self.count("pulls")
+        return [effects.PullDelta(state.pull_address, channel, base)]
+
+    def take_peer_failure(self, event):
+        """Suspect the peer; go to another for a pull, or past it in the tree."""
+        self.membership.suspect(event.address, event.now_s)
+        if event.step == REFUSED:
+            self.membership.note_refusal(event.address, event.now_s)
+        self.count("peer_failures")
+        if event.purpose in CHANNELS:
+            return self._fail_pull(event.purpose, event.address, event.now_s)
+        if self.starting:
+            self.start_answers.add(event.address)
+            return self._finish_start(event.now_s)
+        if event.purpose != effects.ANNOUNCE or self.variant != TREE:
+            return []
+        return self._announce_below(event.address, event.now_s)
+
+    def _fail_pull(self, channel, address, now_s):
+        state = self.channels[channel]
+        state.offers.pop(address, None)
+        if state.pull_address != address:
+            return []
+        state.pull_address = ""
+        return self._pull(channel, now_s)
+
+    def take_delta(self, event):
+        """Apply a peer's delta if it leads to a newer whole version."""
+        state = self.channels[event.channel]
+        if state.pull_address == event.address:
+            state.pull_address = ""
+        state.offers.pop(event.address, None)
+        if event.delta.version <= state.version:
+            return self._pull(event.channel, event.now_s)
+        try:
+            base = self._find_document(state, event.delta.base)
+            document = apply_delta(base, event.delta)
+        except DocumentError:
+            self.count("bad_deltas")
+            return self._pull(event.channel, event.now_s)
+        result = self._offer(event.channel, document, event.now_s)
+        result += self._pull(event.channel, event.now_s)
+        return result + self._finish_start(event.now_s)
+
+    def answer_pull(self, channel, base):
+        """Return the delta from ``base`` to the version held, or None if none is.
+
+        A base that is no longer remembered is answered with a whole document.
+
+        :param channel: the channel asked for.
+        :param base: the version that the asker holds, or None.
+        """
+        state = self.channels[channel]
+        if state.document is None:
+            return None
+        return compute_delta(self._find_document(state, base), state.document)
+
+    @staticmethod
+    def _find_document(state, version):
+        for document in state.history:
+            if document.version == version:
+                return document
+        return None
+
+    # Versions
+
+    def _offer(self, channel, document, now_s):
+        """Apply a document that is newer than the one held, whole or not at all."""
+        state = self.channels[channel]
+        version = document.version
+        if version <= state.version or version in state.rejected:
+            return []
+        try:
+            self._apply(channel, document, now_s)
+        except ContentError as error:
+            return self._reject(state, channel, version, error)
+        state.document = document
+        state.applied_s = now_s
+        state.history = [document, *state.history][:HISTORY_LENGTH]
+        state.offers = {
+            address: offer for address, offer in state.offers.items() if offer > version
+        }
+        self.count(f"applied_{channel}")
+        fields = {
+            "channel": channel,
+            "revision": version.revision,
+            "digest": version.digest,
+        }
+        result = [effects.ReportChange("applied", fields)]
+        return result + self._announce(channel, now_s)
+
+    def _apply(self, channel, document, now_s):
+        if channel == CONFIG:
+            self.snapshot = render_snapshot(document)
+            return
+        revision = document.version.revision
+        self.membership.replace_vms(read_vms(document), revision, now_s)
+
+    def _reject(self, state, channel, version, error):
+        state.rejected[version] = str(error)
+        while len(state.rejected) > REJECTED_LENGTH:
+            del state.rejected[min(state.rejected)]
+        self.count("rejected")
+        fields = {
+            "channel": channel,
+            "revision": version.revision,
+            "digest": version.digest,
+            "reason": str(error),
+        }
+        return [effects.ReportChange("rejected", fields)]
+
+    def _announce(self, channel, now_s):
+        if self.variant == DIRECT or self.starting:
+            return []
+        outside = self.membership.list_peers(now_s, False)
+        inside = self.membership.list_peers(now_s, True)
+        if self.variant == TREE:
+            addresses = self._list_children(self.membership.own.peer_address)
+        else:
+            count = min(GOSSIP_FANOUT - 1, len(inside))
+            addresses = self.random.sample(inside, count)
+        if outside:
+            addresses = [*addresses, self.random.choice(outside)]
+        view = self.make_view(now_s)
+        self.count("announcements", len(addresses))
+        return [
+            effects.SendView(address, view, effects.ANNOUNCE) for address in addresses
+        ]
+
+    def _list_children(self, address):
+        """Return the addresses below a node in the domain's tree.
+
+        The watchers are its roots and share the nodes below them; the tree counts
+        suspected nodes in, so that views agree on it.
+        """
+        ranking = self.membership.rank_domain(CONFIG)
+        addresses = [vm.peer_address for vm in ranking]
+        if address not in addresses:
+            return []
+        roots, below = addresses[:WATCHERS_PER_DOMAIN], addresses[WATCHERS_PER_DOMAIN:]
+        if address in roots:
+            # Whichever root hears of a version first brings it to the whole domain.
+            others = [root for root in roots if root != address]
+            return others + below[:TREE_ARITY]
+        first = TREE_ARITY * (below.index(address) + 1)
+        return below[first : first + TREE_ARITY]
+
+    def _announce_below(self, address, now_s):
+        view = self.make_view(now_s)
+        return [
+            effects.SendView(child, view, effects.ANNOUNCE)
+            for child in self._list_children(address)
+            if child != self.membership.own.peer_address
+        ]
--- /dev/null
+++ b/balsamdeal/core/node.py
@@ -0,0 +1,156 @@
+"""The node: one reducer over all events.
+
+``Node.reduce`` changes the state in place and returns effects as data. State is
+owned by the parts that it composes: copying their tables for each event would cost
+more than the decisions do. Any shell that hands it the same events gets the same
+decisions.
+"""
+
+from random import Random
+
+from balsamdeal.core import effects, events, work
+from balsamdeal.core.distribution import Distribution
+from balsamdeal.core.ingress import Ingress
+from balsamdeal.core.membership import Membership
+from balsamdeal.core.routing import Routing
+from balsamdeal.core.work import Work
+from balsamdeal.documents import CONFIG
+
+PAUSE_BOUND_S = 2.0
+
+
+class Node:
+    """State of a node and the table of the events that it knows.
+
+    :param own: the ``snapshots.Vm`` of this node.
+    :param seeds: peer addresses to ask at the start.
+    :param variant: the variant of distribution.
+    :param fleet_size: the expected number of nodes.
+    :param seed: the seed of all random choices.
+    """
+
+    def __init__(self, own, seeds, variant, fleet_size, seed):
+        self.own = own
+        self.membership = Membership(own, seeds)
+        self.distribution = Distribution(self.membership, variant, fleet_size, seed)
+        self.routing = Routing(self.membership, Random(seed + 1))
+        self.ingress = Ingress(self.distribution, self.routing)
+        self.work = Work(self.distribution, own)
+        self._last_event_s = None
+        self._resumed_s = None
+        self._reducers = {
+            events.Started: self._start,
+            events.Ticked: self._tick,
+            events.TimerFired: self._fire_timer,
+            events.DrainRequested: self._drain,
+            events.SourceAnswered: self.distribution.take_source_answer,
+            events.SourceFailed: self.distribution.take_source_failure,
+            events.PeerHeard: self._hear_peer,
+            events.PeerAnswered: self._take_peer_answer,
+            events.PeerFailed: self.distribution.take_peer_failure,
+            events.DeltaPulled: self.distribution.take_delta,
+            events.VersionHinted: self._take_hint,
+            events.RequestReceived: self.ingress.receive,
+            events.CallerLeft: self.ingress.leave,
+            events.AttemptAnswered: self.ingress.take_reply,
+            events.AttemptFailed: self.ingress.take_failure,
+            events.OutcomeAsked: self.ingress.ask,
+            events.WorkReceived: self.work.receive,
+            events.WorkAbandoned: self.work.abandon,
+            events.TargetAnswered: self.work.take_target_answer,
+            events.TargetFailed: self.work.take_target_failure,
+            events.KeyInquired: self.work.answer_inquiry,
+            events.InquiryAnswered: self._take_finding,
+        }
+
+    @classmethod
+    def from_config(cls, settings):
+        """Return the node that the settings describe.
+
+        :param settings: a checked ``settings.Settings``.
+        """
+        return cls(
+            settings.own_vm,
+            settings.seeds,
+            settings.distribution,
+            settings.fleet_size,
+            settings.seed,
+        )
+
+    def reduce(self, event):
+        """Return the effects of an event.
+
+        :param event: one of ``events``; its time never runs backwards.
+        """
+        result = self._notice_pause(event.now_s)
+        return result + self._reducers[type(event)](event)
+
+    def _notice_pause(self, now_s):
+        """After a gap between events, confirm the view before new requests use it."""
+        last_s = self._last_event_s
+        self._last_event_s = now_s
+        if last_s is None or now_s - last_s < PAUSE_BOUND_S:
+            return []
+        if self.distribution.starting:
+            return []
+        self._resumed_s = now_s
+        self.ingress.park(now_s)
+        self.distribution.count("pauses")
+        report = effects.ReportChange("resumed", {"paused_s": round(now_s - last_s, 2)})
+        return [report, *self.distribution.resume(now_s)]
+
+    def _release_parked(self, now_s):
+        if self._resumed_s is None:
+            return []
+        confirmed = self.distribution.confirmed_s >= self._resumed_s
+        result = self.ingress.release_parked(now_s, confirmed)
+        if now_s >= self.ingress.parked_until_s:
+            self._resumed_s = None
+        return result
+
+    def _start(self, event):
+        return self.distribution.start(event)
+
+    def _tick(self, event):
+        self.routing.forget_absent()
+        result = self.distribution.tick(event.now_s)
+        return result + self._release_parked(event.now_s)
+
+    def _fire_timer(self, event):
+        if event.kind == work.WORK_TIMER:
+            return self.work.time_out(event)
+        return self.ingress.fire_timer(event)
+
+    def _drain(self, event):
+        if self.distribution.draining:
+            return []
+        self.distribution.draining = True
+        peers = self.membership.list_peers(event.now_s, True)
+        peers += self.membership.list_peers(event.now_s, False)
+        chosen = self.distribution.random.sample(peers, min(8, len(peers)))
+        view = self.distribution.make_view(event.now_s)
+        result = [effects.SendView(item, view, effects.COMPARE) for item in chosen]
+        return [effects.ReportChange("draining", {}), *result]
+
+    def _hear_peer(self, event):
+        result = self.distribution.take_view(event.view, event.now_s)
+        view = self.distribution.make_view(event.now_s)
+        return [effects.AnswerView(event.exchange_id, view), *result]
+
+    def _take_peer_answer(self, event):
+        result = self.distribution.take_answer(event)
+        return result + self._release_parked(event.now_s)
+
+    def _take_hint(self, event):
+        return self.distribution.take_offer(
+            CONFIG, event.address, event.version, event.now_s
+        )
+
+    def _take_finding(self, event):
+        if event.subject in self.work.jobs:
+            return self.work.take_finding(event)
+        return self.ingress.take_finding(event)
+
+    def is_idle(self):
+        """Return whether nothing is in flight, so that the process may end."""
+        return self.ingress.is_idle() and self.work.is_idle()
--- /dev/null
+++ b/balsamdeal/core/outcomes.py
@@ -0,0 +1,239 @@
+"""Memory of idempotency keys at a target's node, and proof that a key never ran.
+
+Work with a key runs at the service's VM that ranks first for the key by rendezvous
+hashing. Views of the fleet differ, so a node proves before it runs a key that no
+other VM which some view ranks first has run it: it inquires there, and an inquiry
+bars the key where it was unknown. Where proof cannot be had, because the node that
+would know is gone or silent, the outcome is unknown and the key does not run.
+
+A key that is a UUID of version 7 tells when it was made. It cannot have run at a
+process that had ended by then, which lets such keys run at once after a restart.
+"""
+
+import uuid
+from dataclasses import dataclass, field
+
+from balsamdeal.core.membership import compute_score, rank
+
+MEMORY_S = 600.0
+MAX_RECORDS = 20_000
+MAX_STORED_BODY = 65_536  # bytes
+RESEND_HORIZON_S = 30.0
+CLOCK_SKEW_S = 2.0
+
+ABSENT = "absent"
+CLEARING = "clearing"
+RUNNING = "running"
+DONE = "done"
+BARRED = "barred"
+ENDED = "ended"
+LOST = "lost"
+
+CLEAR = "clear"
+ELSEWHERE = "elsewhere"
+UNPROVED = "unproved"
+
+
+def parse_birth_s(key):
+    """Return when a UUIDv7 key was made, in seconds since the epoch, or None."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    return (parsed.int >> 80) / 1000.0 if parsed.version == 7 else None
+
+
+@dataclass(slots=True)
+class Record:
+    """What is remembered of a key.
+
+    ``state`` is CLEARING while others are asked, RUNNING, DONE or BARRED.
+    """
+
+    state: str
+    noted_s: float
+    reply: object = None
+    asker: str = ""
+    waiters: list = field(default_factory=list)
+
+
+class Outcomes:
+    """Records by key, oldest first; changed in place.
+
+    :param own_name: the name of this node's VM.
+    """
+
+    def __init__(self, own_name):
+        self.own_name = own_name
+        self.records = {}
+
+    def find(self, key, now_s):
+        """Return the record of a key, or None."""
+        self.expire(now_s)
+        return self.records.get(key)
+
+    def expire(self, now_s):
+        """Drop records that are older than MEMORY_S; running ones stay."""
+        expired = []
+        for key, record in self.records.items():
+            if now_s - record.noted_s <= MEMORY_S:
+                break
+            if record.state not in (CLEARING, RUNNING):
+                expired.append(key)
+        for key in expired:
+            del self.records[key]
+
+    def has_room(self):
+        """Return whether a key can be noted.
+
+        At the bound new keys are refused: dropping a young record could let a
+        resent key run twice.
+        """
+        return len(self.records) < MAX_RECORDS
+
+    def begin(self, key, state, now_s):
+        """Note that a key is CLEARING or RUNNING."""
+        self.records[key] = Record(state, now_s)
+
+    def answer_inquiry(self, key, asker, now_s):
+        """Return the state that a peer is told, and bar the key if it is unknown.
+
+        Two nodes that clear one key at once ask each other; the one that ranks
+        first for the key goes on, and the other is barred.
+
+        :param key: the idempotency key.
+        :param asker: the VM that wants to run it, or the empty string.
+        :param now_s: the loop's time in seconds.
+        """
+        record = self.find(key, now_s)
+        if record is None:
+            self.bar(key, asker, now_s)
+            return ABSENT
+        if record.state == CLEARING:
+            own_score = compute_score(key, self.own_name)
+            if asker and compute_score(key, asker) < own_score:
+                return RUNNING
+            record.state = BARRED
+            record.asker = asker
+            return ABSENT
+        return ABSENT if record.state == BARRED else record.state
+
+    def bar(self, key, asker, now_s):
+        """Note that an unknown key must never run here."""
+        self.records[key] = Record(BARRED, now_s, asker=asker)
+
+    def finish(self, key, reply):
+        """Keep the reply of a key; return the work that waits for it."""
+        record = self.records[key]
+        record.state = DONE
+        record.reply = reply
+        waiters, record.waiters = record.waiters, []
+        return waiters
+
+    def forget(self, key):
+        """Drop a key that provably did not run; return the work that waits for it."""
+        record = self.records.pop(key, None)
+        return record.waiters if record else []
+
+
+def list_inquiries(membership, key, service, in_doubt, now_s):
+    """Return the VMs that must be asked before this node runs a key.
+
+    These are all VMs that rank above this node, and below it those that ranked
+    first in some older list and are not known to hold the list in force. When this
+    node's own memory leaves a doubt, all are asked, as one may have the answer.
+
+    :param membership: the node's ``Membership``.
+    :param key: the idempotency key.
+    :param service: the service's name.
+    :param in_doubt: whether to ask all VMs of the service.
+    :param now_s: the loop's time in seconds.
+    """
+    own = membership.own
+    members = {vm.name: vm for vm in membership.list_service(service)}
+    members[own.name] = own
+    ranking = rank(key, members.values())
+    position = next(i for i, vm in enumerate(ranking) if vm.name == own.name)
+    if in_doubt:
+        return ranking[:position] + ranking[position + 1 :]
+    inquiries = ranking[:position]
+    revision = membership.changed_revision.get(service, 0)
+    for vm in ranking[position + 1 :]:
+        if membership.acknowledged_revision.get(vm.name, 0) < revision:
+            inquiries.append(vm)
+        joined_s = membership.joined_s.get(vm.name, float("-inf"))
+        if now_s - joined_s > RESEND_HORIZON_S:
+            break
+    return inquiries
+
+
+def was_sent_after(key, moment_s, now_wall_s):
+    """Return whether a key was first sent after a moment; no if that is not sure.
+
+    Undated keys are taken to be resent within RESEND_HORIZON_S only.
+
+    :param key: the idempotency key.
+    :param moment_s: the moment in seconds since the epoch.
+    :param now_wall_s: the time in seconds since the epoch.
+    """
+    birth_s = parse_birth_s(key)
+    if birth_s is None:
+        return now_wall_s - moment_s >= RESEND_HORIZON_S
+    return birth_s > moment_s + CLOCK_SKEW_S
+
+
+def covers(key, started_s, now_wall_s):
+    """Return whether a process's memory reaches back to a key's first sending.
+
+    :param key: the idempotency key.
+    :param started_s: the process's start in seconds since the epoch.
+    :param now_wall_s: the time in seconds since the epoch.
+    """
+    birth_s = parse_birth_s(key)
+    if birth_s is not None and now_wall_s - birth_s > MEMORY_S:
+        return False
+    return was_sent_after(key, started_s, now_wall_s)
+
+
+def find_departed_owner(membership, key, service, now_s, now_wall_s):
+    """Return a departed VM that may have run the key, or the empty string.
+
+    :param membership: the node's ``Membership``.
+    :param key: the idempotency key.
+    :param service: the service's name.
+    :param now_s: the loop's time in seconds.
+    :param now_wall_s: the same moment in seconds since the epoch.
+    """
+    own_score = compute_score(key, membership.own.name)
+    for name, (vm, departed_s) in membership.departed.items():
+        if vm.service != service or compute_score(key, name) < own_score:
+            continue
+        departed_wall_s = now_wall_s - (now_s - departed_s)
+        if not was_sent_after(key, departed_wall_s, now_wall_s):
+            return name
+    return ""
+
+
+def judge(key, findings, now_wall_s):
+    """Return CLEAR, ELSEWHERE or UNPROVED, and the VM that decided it.
+
+    A VM that refuses connections runs no process. A key that was first sent after
+    that process ended cannot have run there.
+
+    :param key: the idempotency key.
+    :param findings: one ``events.Finding`` for each VM that was asked.
+    :param now_wall_s: the time in seconds since the epoch.
+    """
+    for finding in findings:
+        if finding.state in (RUNNING, DONE):
+            return ELSEWHERE, finding.vm
+    for finding in findings:
+        if finding.state == ENDED:
+            proved = was_sent_after(key, finding.since_s, now_wall_s)
+        else:
+            proved = finding.state == ABSENT and covers(
+                key, finding.since_s, now_wall_s
+            )
+        if not proved:
+            return UNPROVED, finding.vm
+    return CLEAR, ""
--- /dev/null
+++ b/balsamdeal/core/retries.py
@@ -0,0 +1,36 @@
+"""The retry budget: attempts beyond the first as a share of recent traffic."""
+
+import math
+
+BUDGET_SHARE = 0.1
+HALF_LIFE_S = 10.0
+FREE_RETRIES = 1.0
+
+
+class RetryBudget:
+    """Decaying counts of requests and extra attempts of one service."""
+
+    def __init__(self):
+        self.requests = 0.0
+        self.extra = 0.0
+        self._updated_s = None
+
+    def _decay(self, now_s):
+        if self._updated_s is not None:
+            factor = math.exp2((self._updated_s - now_s) / HALF_LIFE_S)
+            self.requests *= factor
+            self.extra *= factor
+        self._updated_s = now_s
+
+    def note_request(self, now_s):
+        """Count a request."""
+        self._decay(now_s)
+        self.requests += 1
+
+    def spend(self, now_s):
+        """Take one extra attempt out of the budget; return whether there was one."""
+        self._decay(now_s)
+        if self.extra + 1 > FREE_RETRIES + self.requests * BUDGET_SHARE:
+            return False
+        self.extra += 1
+        return True
--- /dev/null
+++ b/balsamdeal/core/work.py
@@ -0,0 +1,376 @@
+"""Work at a target's own node: from an ingress, through admission, to the target.
+
+A piece of work is clearing (its key is being proved never to have run), queued,
+or running. Only work that never reached the target is called not run.
+"""
+
+from dataclasses import dataclass, field, replace
+
+from balsamdeal.core import effects, outcomes
+from balsamdeal.core.admission import Admission
+from balsamdeal.core.events import Finding
+from balsamdeal.core.replies import ANSWERED, Load, make_not_run, make_unknown
+from balsamdeal.documents import VMS
+
+CLEARING = "clearing"
+QUEUED = "queued"
+RUNNING = "running"
+WAITING = "waiting"
+
+DEFAULT_SLOTS = 16
+REPLY_MARGIN_S = 0.02
+WORK_TIMER = "work"
+
+
+@dataclass(slots=True)
+class Job:
+    """A piece of work; times in seconds of the loop's clock.
+
+    ``doubt`` names the VM whose memory of the work's key was lost, if any.
+    """
+
+    event: object
+    state: str
+    deadline_s: float
+    started_s: float = 0.0
+    expected: int = 0
+    findings: list = field(default_factory=list)
+    doubt: str = ""
+
+
+class Work:
+    """All work at this node's target; changed in place.
+
+    :param distribution: the ``Distribution``, for versions and start times.
+    :param own: the ``snapshots.Vm`` of this node.
+    """
+
+    def __init__(self, distribution, own):
+        self.distribution = distribution
+        self.membership = distribution.membership
+        self.own = own
+        self.admission = Admission(DEFAULT_SLOTS)
+        self.outcomes = outcomes.Outcomes(own.name)
+        self.jobs = {}
+        self.target_draining = False
+
+    @property
+    def draining(self):
+        """Whether this node takes no new work."""
+        return self.distribution.draining or self.target_draining
+
+    def make_load(self):
+        """Return the load that travels with each reply."""
+        admission = self.admission
+        return Load(
+            admission.busy, len(admission.queue), admission.slots, self.draining
+        )
+
+    def _get_wall_s(self, now_s):
+        distribution = self.distribution
+        return distribution.started_wall_s + now_s - distribution.started_s
+
+    def receive(self, event):
+        """Take work from an ingress, or reply why it does not run here."""
+        self._update_slots()
+        remembered = event.key and not event.idempotent
+        if remembered:
+            result = self._reply_from_memory(event)
+            if result is not None:
+                return result
+        if event.service != self.own.service:
+            reason = f"this node serves {self.own.service}"
+            return self._refuse(event.work_id, "route", reason)
+        if self.draining:
+            return self._refuse(event.work_id, "drain", "the target is leaving")
+        margin_s = min(REPLY_MARGIN_S, event.timeout_s / 4)
+        deadline_s = event.now_s + event.timeout_s - margin_s
+        job = Job(event, QUEUED, deadline_s)
+        if not remembered:
+            self.jobs[event.work_id] = job
+            return self._admit(job, event.now_s)
+        if not self.outcomes.has_room():
+            return self._refuse(event.work_id, "memory", "too many keys are remembered")
+        return self._clear(job, event.now_s)
+
+    def _update_slots(self):
+        snapshot = self.distribution.snapshot
+        if snapshot is not None and self.own.service in snapshot.services:
+            self.admission.slots = snapshot.services[self.own.service].slots
+
+    def _refuse(self, work_id, step, reason):
+        retry_after_s = self.admission.get_retry_after_s()
+        reply = make_not_run(step, self.own.name, reason, retry_after_s)
+        return [self._reply(work_id, reply)]
+
+    def _reply(self, work_id, reply):
+        return effects.ReplyWork(work_id, replace(reply, load=self.make_load()))
+
+    # Keys
+
+    def _reply_from_memory(self, event):
+        record = self.outcomes.find(event.key, event.now_s)
+        if record is None:
+            return None
+        if record.state == outcomes.DONE:
+            self.distribution.count("work_from_memory")
+            return [self._reply(event.work_id, record.reply)]
+        if record.state == outcomes.BARRED:
+            reply = make_not_run(
+                "barred",
+                self.own.name,
+                "the key was asked about before it came, and never runs here",
+                moved_to=record.asker,
+            )
+            return [self._reply(event.work_id, reply)]
+        record.waiters.append(event.work_id)
+        deadline_s = event.now_s + event.timeout_s
+        self.jobs[event.work_id] = Job(event, WAITING, deadline_s)
+        return [effects.SetTimer(WORK_TIMER, event.work_id, deadline_s)]
+
+    def _clear(self, job, now_s):
+        event = job.event
+        self.jobs[event.work_id] = job
+        if event.fresh:
+            return self._begin(job, now_s)
+        wall_s = self._get_wall_s(now_s)
+        membership = self.membership
+        if not outcomes.covers(event.key, self.distribution.started_wall_s, wall_s):
+            job.doubt = self.own.name
+        else:
+            job.doubt = outcomes.find_departed_owner(
+                membership, event.key, event.service, now_s, wall_s
+            )
+        vms = outcomes.list_inquiries(
+            membership, event.key, event.service, bool(job.doubt), now_s
+        )
+        if not vms and job.doubt:
+            return self._leave_unproved(job, job.doubt)
+        if not vms:
+            return self._begin(job, now_s)
+        job.state = CLEARING
+        job.expected = len(vms)
+        self.outcomes.begin(event.key, outcomes.CLEARING, now_s)
+        self.distribution.count("inquiries", len(vms))
+        result = [
+            effects.SendInquiry(
+                event.work_id, vm.name, vm.peer_address, event.key, self.own.name
+            )
+            for vm in vms
+        ]
+        return [*result, effects.SetTimer(WORK_TIMER, event.work_id, job.deadline_s)]
+
+    def _leave_unproved(self, job, peer):
+        event = job.event
+        del self.jobs[event.work_id]
+        self.distribution.count("work_unproved")
+        reply = make_unknown(
+            "memory",
+            peer,
+            "an earlier copy of this key may have run where its outcome was lost",
+            outcomes.RESEND_HORIZON_S,
+        )
+        result = [self._reply(event.work_id, reply)]
+        return result + self._reply_waiters(self.outcomes.forget(event.key), reply)
+
+    def _reply_waiters(self, waiters, reply):
+        result = []
+        for work_id in waiters:
+            if self.jobs.pop(work_id, None) is not None:
+                result.append(self._reply(work_id, reply))
+        return result
+
+    def take_finding(self, event):
+        """Collect what a peer knows of a key; go on when all have answered."""
+        job = self.jobs.get(event.subject)
+        finding = event.finding
+        if finding.vms_revision:
+            self.membership.note_revision(finding.vm, finding.vms_revision)
+        if job is None or job.state != CLEARING:
+            return []
+        wall_s = self._get_wall_s(event.now_s)
+        job.findings.append(self.membership.date_end(finding, event.now_s, wall_s))
+        if len(job.findings) < job.expected:
+            return []
+        return self._conclude(job, event.now_s)
+
+    def _conclude(self, job, now_s):
+        key = job.event.key
+        verdict, vm = outcomes.judge(key, job.findings, self._get_wall_s(now_s))
+        record = self.outcomes.records[key]
+        if record.state == outcomes.BARRED:
+            verdict, vm = outcomes.ELSEWHERE, record.asker
+        if verdict == outcomes.UNPROVED:
+            return self._leave_unproved(job, vm)
+        if verdict == outcomes.CLEAR and job.doubt:
+            return self._leave_unproved(job, job.doubt)
+        if verdict == outcomes.CLEAR:
+            return self._begin(job, now_s)
+        del self.jobs[job.event.work_id]
+        reply = make_not_run(
+            "clear", self.own.name, "the key runs elsewhere", moved_to=vm
+        )
+        waiters = record.waiters
+        record.state, record.asker, record.waiters = outcomes.BARRED, vm, []
+        result = [self._reply(job.event.work_id, reply)]
+        return result + self._reply_waiters(waiters, reply)
+
+    def _begin(self, job, now_s):
+        key = job.event.key
+        record = self.outcomes.records.get(key)
+        if record is None:
+            self.outcomes.begin(key, outcomes.RUNNING, now_s)
+        else:
+            record.state = outcomes.RUNNING
+        if now_s >= job.deadline_s:
+            return self._end_not_run(job, "clear", "the deadline passed")
+        return self._admit(job, now_s)
+
+    def answer_inquiry(self, event):
+        """Tell a peer what is known of a key, and bar it here if it is unknown."""
+        state = self.outcomes.answer_inquiry(event.key, event.asker, event.now_s)
+        finding = Finding(
+            self.own.name,
+            state,
+            self.distribution.started_wall_s,
+            self.distribution.channels[VMS].version.revision,
+        )
+        return [effects.AnswerInquiry(event.exchange_id, finding)]
+
+    # Queue
+
+    def _admit(self, job, now_s):
+        event = job.event
+        decision, shed = self.admission.offer(
+            event.work_id, event.flow, event.weight, job.deadline_s
+        )
+        result = []
+        if shed:
+            self.distribution.count("work_shed")
+            result += self._end_not_run(self.jobs[shed], "queue", "shed for other work")
+        if decision == "run":
+            return result + self._run(job, now_s)
+        if decision == "shed":
+            self.distribution.count("work_shed")
+            return result + self._end_not_run(job, "queue", "the queue is full")
+        job.state = QUEUED
+        timer = effects.SetTimer(WORK_TIMER, event.work_id, job.deadline_s)
+        return [*result, timer]
+
+    def _run(self, job, now_s):
+        event = job.event
+        job.state = RUNNING
+        job.started_s = now_s
+        timeout_s = max(0.001, job.deadline_s - now_s)
+        return [effects.RunOnTarget(event.work_id, timeout_s, event.idempotent)]
+
+    def _end_not_run(self, job, step, reason, peer=""):
+        """End work that was never handed to the target."""
+        event = job.event
+        self.jobs.pop(event.work_id, None)
+        retry_after_s = self.admission.get_retry_after_s()
+        reply = make_not_run(step, peer or self.own.name, reason, retry_after_s)
+        result = [self._reply(event.work_id, reply)]
+        if event.key and not event.idempotent:
+            result += self._reply_waiters(self.outcomes.forget(event.key), reply)
+        return result
+
+    def _start_next(self, now_s):
+        run, expired = self.admission.take_next(now_s)
+        result = []
+        for work_id in run:
+            result += self._run(self.jobs[work_id], now_s)
+        for work_id in expired:
+            job = self.jobs[work_id]
+            result += self._end_not_run(job, "queue", "the deadline passed")
+        return result
+
+    def time_out(self, event):
+        """A deadline passed for work that waits."""
+        job = self.jobs.get(event.subject)
+        if job is None or job.state == RUNNING:
+            return []
+        if job.state == WAITING:
+            del self.jobs[event.subject]
+            reason = "the first sending of this key still runs"
+            return [
+                self._reply(event.subject, make_unknown("wait", self.own.name, reason))
+            ]
+        if job.state == CLEARING:
+            return self._leave_unproved(job, self.own.name)
+        self.admission.remove(event.subject)
+        return self._end_not_run(job, "queue", "the deadline passed")
+
+    def abandon(self, event):
+        """The ingress left: drop waiting work, cancel idempotent work that runs."""
+        job = self.jobs.get(event.work_id)
+        if job is None:
+            return []
+        if job.state == QUEUED:
+            record = self.outcomes.records.get(job.event.key)
+            if record is not None and record.waiters:
+                return []
+            self.admission.remove(event.work_id)
+            return self._end_not_run(job, "queue", "the ingress left")
+        if job.state == RUNNING and job.event.idempotent:
+            return [effects.CancelTarget(event.work_id)]
+        if job.state == WAITING:
+            del self.jobs[event.work_id]
+        return []
+
+    # Target
+
+    def take_target_answer(self, event):
+        """Reply with the target's whole answer, and remember it under its key."""
+        self.target_draining = event.draining
+        job = self.jobs.get(event.work_id)
+        if job is None:
+            return []
+        self.admission.release(event.now_s - job.started_s)
+        if event.not_run:
+            step, reason = "target", "the target refused the work"
+            result = self._end_not_run(job, step, reason)
+        else:
+            result = self._end(job, event.reply)
+        return result + self._start_next(event.now_s)
+
+    def take_target_failure(self, event):
+        """Reply not run if nothing was written to the target, else unknown."""
+        job = self.jobs.get(event.work_id)
+        if job is None:
+            return []
+        self.admission.release(event.now_s - job.started_s)
+        if event.written:
+            reason = "the target gave no whole answer"
+            result = self._end(job, make_unknown(event.step, "target", reason))
+        else:
+            result = self._end_not_run(
+                job, event.step, "the target is unreachable", peer="target"
+            )
+        return result + self._start_next(event.now_s)
+
+    def _end(self, job, reply):
+        event = job.event
+        del self.jobs[event.work_id]
+        result = [self._reply(event.work_id, reply)]
+        if event.key and not event.idempotent:
+            kept = reply
+            if reply.outcome == ANSWERED and len(reply.body) > outcomes.MAX_STORED_BODY:
+                reason = "it ran, and its answer was too large to keep"
+                kept = replace(
+                    make_unknown("memory", self.own.name, reason), status=409
+                )
+            waiters = self.outcomes.finish(event.key, kept)
+            result += self._reply_waiters(waiters, reply)
+        return result
+
+    def is_idle(self):
+        """Return whether no work is queued or running."""
+        return not self.jobs
+
+    def count_states(self):
+        """Return the number of jobs by state."""
+        counts = {}
+        for job in self.jobs.values():
+            counts[job.state] = counts.get(job.state, 0) + 1
+        return counts
--- /dev/null
+++ b/balsamdeal/daemon.py
@@ -0,0 +1,99 @@
+"""``balsamdeald``: one node, beside one target VM."""
+
+import asyncio
+import dataclasses
+import logging
+import os
+import secrets
+import signal
+import sys
+
+from balsamdeal import log
+from balsamdeal.core import events
+from balsamdeal.errors import SettingsError
+from balsamdeal.net.servers import listen
+from balsamdeal.net.shell import Shell
+from balsamdeal.settings import check_settings, collect_values, make_parser
+
+logger = logging.getLogger(__name__)
+
+EXIT_SETTINGS = 2
+EXIT_ADDRESS = 3
+EXIT_FORCED = 4
+IDLE_POLL_S = 0.02
+LINGER_S = 0.1
+
+
+def parse_arguments(argv=None):
+    """Return checked settings from flags and the environment.
+
+    :param argv: the command line without the program's name.
+    :raises SettingsError: with every fault.
+    """
+    arguments = make_parser().parse_args(argv)
+    return check_settings(collect_values(arguments, os.environ))
+
+
+async def drain(shell, timeout_s):
+    """Refuse new work and wait until what is in flight has ended.
+
+    :param shell: the running ``Shell``.
+    :param timeout_s: the longest wait in seconds.
+    """
+    loop = shell.loop
+    shell.handle(events.DrainRequested(loop.time()))
+    deadline_s = loop.time() + timeout_s
+    # Callers and peers get some moments to hear of it by the answers.
+    await asyncio.sleep(LINGER_S)
+    while not shell.node.is_idle() and loop.time() < deadline_s:
+        await asyncio.sleep(IDLE_POLL_S)
+    await asyncio.sleep(LINGER_S)
+
+
+async def serve(settings):
+    """Run the node until a signal; return the exit code.
+
+    :param settings: checked settings.
+    """
+    loop = asyncio.get_running_loop()
+    signals = asyncio.Queue()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signals.put_nowait, number)
+    shell = Shell(settings)
+    try:
+        servers = listen(shell)
+    except OSError as error:
+        logger.error("cannot listen", extra={"reason": str(error)})
+        return EXIT_ADDRESS
+    shell.start()
+    await signals.get()
+    draining = loop.create_task(drain(shell, settings.drain_timeout_s))
+    forced = loop.create_task(signals.get())
+    await asyncio.wait({draining, forced}, return_when=asyncio.FIRST_COMPLETED)
+    code = 0 if draining.done() else EXIT_FORCED
+    for server in servers:
+        server.stop()
+    shell.stop()
+    logger.info("stopped", extra={"code": code})
+    return code
+
+
+def main(argv=None):
+    """Run the daemon.
+
+    :param argv: the command line without the program's name.
+    """
+    try:
+        settings = parse_arguments(argv)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"balsamdeald: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if settings.seed == 0:
+        settings = dataclasses.replace(settings, seed=secrets.randbits(63))
+    log.configure(settings.log_level, settings.own_vm.name)
+    return asyncio.run(serve(settings))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/balsamdeal/metrics.py
@@ -0,0 +1,71 @@
+"""Counters and latency histograms, as JSON and in the Prometheus text format."""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Latencies by workspace and class, and counters by name.
+
+    :param counters: the counters that the reducer adds to.
+    """
+
+    def __init__(self, counters):
+        self.counters = counters
+        self.latencies = {}
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    def count(self, name, amount=1):
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def record_latency(self, workspace, traffic_class, latency_s):
+        """Record the time from a request's arrival to its answer, in seconds."""
+        flow = (workspace, traffic_class)
+        histogram = self.latencies.get(flow)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self.latencies[flow] = histogram
+        histogram.record_value(max(LOWEST_US, int(latency_s * 1e6)))
+
+    def summarize(self):
+        """Return everything as a dictionary; latencies in milliseconds."""
+        latencies = []
+        for (workspace, traffic_class), histogram in sorted(self.latencies.items()):
+            entry = {
+                "workspace": workspace,
+                "class": traffic_class,
+                "count": histogram.get_total_count(),
+            }
+            for quantile in QUANTILES:
+                value_us = histogram.get_value_at_percentile(quantile)
+                entry[f"p{quantile:g}_ms"] = round(value_us / 1000, 3)
+            latencies.append(entry)
+        return {"counters": dict(sorted(self.counters.items())), "latencies": latencies}
+
+    def collect(self):
+        """Yield metric families for the Prometheus client library."""
+        for name, value in sorted(self.counters.items()):
+            label = name.replace("-", "_")
+            yield CounterMetricFamily(f"balsamdeal_{label}", label, value=value)
+        family = SummaryMetricFamily(
+            "balsamdeal_request_seconds",
+            "Time from a request's arrival to its answer",
+            labels=["workspace", "class"],
+        )
+        for flow, histogram in sorted(self.latencies.items()):
+            count = histogram.get_total_count()
+            total_s = histogram.get_mean_value() * count / 1e6
+            family.add_metric(list(flow), count_value=count, sum_value=total_s)
+        yield family
+
+    def format_prometheus(self):
+        """Return everything in the Prometheus text format, as bytes."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/balsamdeal/models.py
@@ -0,0 +1,194 @@
+"""Validated models of everything that crosses the border of the process."""
+
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+
+MAX_TIMEOUT_S = 300.0
+
+
+def _check_address(value):
+    host, separator, port = value.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("expected host:port")
+    return value
+
+
+Name = Annotated[str, Field(pattern=r"^[\w][\w.-]{0,62}$")]
+Address = Annotated[str, AfterValidator(_check_address)]
+Method = Literal["GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH"]
+
+
+class Model(BaseModel):
+    """Base of all models: unknown fields and loose types are errors."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class ClassModel(Model):
+    """A traffic class of a service; times in seconds."""
+
+    weight: float = Field(gt=0, le=1000)
+    timeout_s: float = Field(gt=0, le=MAX_TIMEOUT_S)
+    hedge_after_s: float | None = Field(default=None, gt=0)
+
+
+class ServiceModel(Model):
+    """A part ``services/NAME.yaml``."""
+
+    slots: int = Field(gt=0, le=10_000)
+    connections: int = Field(gt=0, le=100_000)
+    classes: dict[Name, ClassModel] = Field(min_length=1)
+
+    @model_validator(mode="after")
+    def _check_connections(self):
+        if self.connections < self.slots:
+            raise ValueError("connections must not be fewer than slots")
+        return self
+
+
+class WorkspaceModel(Model):
+    """A part ``workspaces/NAME.yaml``."""
+
+    templates: list[Name] = Field(min_length=1)
+    parameters: dict[str, Any] = Field(default_factory=dict)
+    share: float = Field(default=1.0, gt=0, le=1000)
+
+
+class RouteModel(Model):
+    """One route of a rendered template."""
+
+    path: str = Field(pattern=r"^/[^\s?#]*$")
+    methods: list[Method] = Field(min_length=1)
+    reach: Name
+    traffic_class: Name = Field(alias="class")
+    idempotent: bool | None = None
+
+
+class RenderedTemplate(Model):
+    """What a template renders to, after parsing as YAML."""
+
+    routes: list[RouteModel] = Field(min_length=1)
+
+
+class VmModel(Model):
+    """One VM of the platform's list."""
+
+    vm: Name
+    region: Name
+    failure_domain: Name
+    service: Name
+    peer_address: Address
+    operator_address: Address
+    state: Literal["live", "leaving"]
+
+
+class VmListPart(Model):
+    """The VM list, or the part of it in one failure domain."""
+
+    vms: list[VmModel]
+
+
+class PartReference(Model):
+    """A part too large for the bundle, stored under a key of its own."""
+
+    key: str
+    sha256: str
+
+
+class Bundle(Model):
+    """The value of the configuration key: all parts of one version."""
+
+    format: Literal[1]
+    parts: dict[str, str | PartReference]
+
+
+class ViewMessage(Model):
+    """What nodes tell each other in a comparison.
+
+    ``versions`` maps channels to revision and digest; ``source_age_s`` is the time
+    since anybody heard from the source; ``ticket`` is present while starting.
+    """
+
+    vm: str
+    failure_domain: str
+    address: Address
+    started_s: float
+    versions: dict[str, tuple[int, str]]
+    source_age_s: float | None
+    starting: bool
+    draining: bool
+
+
+class DeltaMessage(Model):
+    """A delta of a channel's document on the wire."""
+
+    base: tuple[int, str] | None
+    version: tuple[int, str]
+    changed: dict[str, str]
+    removed: list[str]
+
+
+class InquiryAnswer(Model):
+    """What a node knows of an idempotency key; ``state`` is the key's state there."""
+
+    state: Literal["absent", "running", "done"]
+    vm: str
+    since_s: float
+    vms_revision: int
+
+
+class WorkMessage(Model):
+    """What accompanies a request from an ingress to a target's node."""
+
+    attempt: str
+    vm: str
+    address: Address
+    service: str
+    flow: tuple[str, str]
+    weight: float
+    key: str
+    fresh: bool
+    idempotent: bool
+    timeout_s: float
+    method: Method
+    path: str
+    config: tuple[int, str]
+
+
+class LoadMessage(Model):
+    """The load of a target's node; see ``core.replies.Load``."""
+
+    busy: int
+    queued: int
+    slots: int
+    draining: bool
+
+
+class ReplyMessage(Model):
+    """What accompanies the reply to work; see ``core.replies.Reply``."""
+
+    attempt: str
+    outcome: Literal["answered", "not-run", "unknown"]
+    status: int
+    step: str
+    peer: str
+    reason: str
+    retry_after_s: float
+    load: LoadMessage | None
+    moved_to: str
+    config: tuple[int, str]
+
+
+class PullMessage(Model):
+    """A request for a channel's document."""
+
+    channel: Literal["config", "vms"]
+    base: tuple[int, str] | None
+
+
+class InquiryMessage(Model):
+    """A question about an idempotency key, which bars it where it is unknown."""
+
+    key: str
+    asker: str
--- /dev/null
+++ b/balsamdeal/net/__init__.py
@@ -0,0 +1,1 @@
+"""The shell around the core: servers, clients and timers on one tornado loop."""
--- /dev/null
+++ b/balsamdeal/net/forwarding.py
@@ -0,0 +1,352 @@
+"""Requests on the wire: callers, attempts to targets' nodes, the own target.
+
+Payloads stay here, keyed by request and work id; the reducer sees metadata only.
+"""
+
+import json
+import math
+from dataclasses import dataclass
+from http.client import responses
+
+from pydantic import ValidationError
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+
+from balsamdeal import models
+from balsamdeal.core import events
+from balsamdeal.core.replies import ANSWERED, Reply
+from balsamdeal.documents import CONFIG
+from balsamdeal.errors import ExchangeError
+from balsamdeal.net import wire
+from balsamdeal.net.connections import Exchange
+
+WORK_PATH = "/work"
+OUTCOME_PATH = "/.well-known/balsamdeal/outcomes"
+ATTEMPT_MARGIN_S = 0.05
+
+
+@dataclass(slots=True)
+class Payload:
+    """What a caller sent, as it goes to the target."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's request that waits for its answer."""
+
+    request: object
+    payload: Payload
+    received_s: float
+
+
+def respond(request, status, headers, body):
+    """Write a whole response to a request of tornado's server.
+
+    :param request: the ``HTTPServerRequest``.
+    :param status: the HTTP status.
+    :param headers: ``HTTPHeaders``; the length is added.
+    :param body: the body as bytes.
+    """
+    connection = request.connection
+    if connection.stream is None or connection.stream.closed():
+        return
+    headers["Content-Length"] = str(len(body))
+    line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
+    chunk = None if request.method == "HEAD" else body
+    connection.write_headers(line, headers, chunk or None)
+    connection.finish()
+
+
+class Forwarding:
+    """Carries requests for the shell.
+
+    :param shell: the ``Shell`` that takes the resulting events.
+    """
+
+    def __init__(self, shell):
+        self._shell = shell
+        self._calls = {}
+        self._attempts = {}
+        self._work = {}
+        self._running = {}
+
+    @property
+    def _config(self):
+        return self._shell.node.distribution.channels[CONFIG].version
+
+    # Callers
+
+    def receive_call(self, request_id, request, event):
+        """Keep a caller's request and hand its event to the reducer.
+
+        :param request_id: the new id.
+        :param request: the ``HTTPServerRequest``.
+        :param event: ``RequestReceived`` or ``OutcomeAsked``.
+        """
+        payload = Payload(
+            request.method,
+            request.uri,
+            wire.filter_headers(request.headers),
+            request.body,
+        )
+        self._calls[request_id] = Call(request, payload, event.now_s)
+        request.connection.set_close_callback(lambda: self._lose_caller(request_id))
+        self._shell.handle(event)
+
+    def _lose_caller(self, request_id):
+        if self._calls.pop(request_id, None) is not None:
+            now_s = self._shell.loop.time()
+            self._shell.handle(events.CallerLeft(request_id, now_s))
+
+    def answer_caller(self, effect):
+        """Carry out ``AnswerCaller``."""
+        call = self._calls.pop(effect.request_id, None)
+        if call is None:
+            return
+        reply = effect.reply
+        headers = HTTPHeaders()
+        body = reply.body
+        if reply.outcome == ANSWERED:
+            for name, value in reply.headers:
+                headers.add(name, value)
+        else:
+            headers["Content-Type"] = "application/json"
+            body = self._describe(effect, call)
+        headers["Balsamdeal-Outcome"] = reply.outcome
+        headers["Balsamdeal-Request"] = effect.request_id
+        if reply.outcome != ANSWERED and reply.retry_after_s:
+            headers["Retry-After"] = str(math.ceil(reply.retry_after_s))
+        respond(call.request, reply.status, headers, body)
+        if effect.traffic_class:
+            latency_s = self._shell.loop.time() - call.received_s
+            self._shell.metrics.record_latency(
+                effect.workspace, effect.traffic_class, latency_s
+            )
+
+    @staticmethod
+    def _describe(effect, call):
+        reply = effect.reply
+        key = call.request.headers.get("Idempotency-Key", effect.request_id)
+        description = {
+            "outcome": reply.outcome,
+            "step": reply.step,
+            "peer": reply.peer,
+            "reason": reply.reason,
+            "retry_after_s": round(reply.retry_after_s, 3),
+        }
+        if effect.service:
+            description["ask"] = f"{OUTCOME_PATH}/{effect.service}/{key}"
+        return json.dumps(description, ensure_ascii=False).encode()
+
+    # Attempts, at the ingress
+
+    def send_attempt(self, effect):
+        """Carry out ``SendAttempt``; the own node is reached without a socket."""
+        call = self._calls.get(effect.request_id)
+        if call is None:
+            # The caller left while a retry waited.
+            now_s = self._shell.loop.time()
+            self._shell.handle(events.CallerLeft(effect.request_id, now_s))
+            return
+        if effect.address == self._shell.settings.own_vm.peer_address:
+            self._work[effect.attempt_id] = (call.payload, None)
+            self._hand_over(effect.attempt_id, effect, self._shell.loop.time())
+            return
+        exchange = Exchange()
+        self._attempts[effect.attempt_id] = exchange
+        self._shell.spawn(self._exchange_attempt(effect, call.payload, exchange))
+
+    def _hand_over(self, work_id, message, now_s):
+        self._shell.handle(
+            events.WorkReceived(
+                work_id,
+                message.service,
+                message.flow,
+                message.weight,
+                message.key,
+                message.fresh,
+                message.idempotent,
+                message.timeout_s,
+                now_s,
+            )
+        )
+
+    def _encode_work(self, effect, payload):
+        own = self._shell.settings.own_vm
+        message = models.WorkMessage.model_construct(
+            attempt=effect.attempt_id,
+            vm=own.name,
+            address=own.peer_address,
+            service=effect.service,
+            flow=effect.flow,
+            weight=effect.weight,
+            key=effect.key,
+            fresh=effect.fresh,
+            idempotent=effect.idempotent,
+            timeout_s=round(effect.timeout_s, 4),
+            method=payload.method,
+            path=payload.path,
+            config=wire.pack_version(self._config),
+        )
+        return message.model_dump_json(ensure_ascii=True)
+
+    async def _exchange_attempt(self, effect, payload, exchange):
+        now = self._shell.loop.time
+        headers = HTTPHeaders()
+        for name, value in payload.headers:
+            headers.add(name, value)
+        headers[wire.WORK_HEADER] = self._encode_work(effect, payload)
+        try:
+            response = await self._shell.pool.fetch(
+                effect.address,
+                "POST",
+                WORK_PATH,
+                headers,
+                payload.body,
+                timeout_s=effect.timeout_s + ATTEMPT_MARGIN_S,
+                new_connection=effect.new_connection,
+                once=not effect.idempotent,
+                exchange=exchange,
+            )
+            event = self._decode_reply(effect, response)
+        except ExchangeError as error:
+            event = events.AttemptFailed(
+                effect.attempt_id, error.step, error.peer, error.written, now()
+            )
+        self._attempts.pop(effect.attempt_id, None)
+        self._shell.handle(event)
+
+    def _decode_reply(self, effect, response):
+        now_s = self._shell.loop.time()
+        try:
+            attempt, reply, version = wire.decode_reply(
+                response.headers[wire.REPLY_HEADER], response
+            )
+        except (KeyError, ValidationError):
+            attempt = None
+        if attempt != effect.attempt_id:
+            # An answer to another request must not reach this caller.
+            self._shell.pool.drop_idle(effect.address)
+            return events.AttemptFailed(
+                effect.attempt_id, "decode", effect.address, True, now_s
+            )
+        if version > self._config:
+            self._shell.handle(events.VersionHinted(effect.address, version, now_s))
+        return events.AttemptAnswered(effect.attempt_id, reply, now_s)
+
+    def cancel_attempt(self, effect):
+        """Carry out ``CancelAttempt``."""
+        exchange = self._attempts.pop(effect.attempt_id, None)
+        if exchange is not None:
+            exchange.cancel()
+        elif effect.attempt_id in self._work:
+            now_s = self._shell.loop.time()
+            self._shell.handle(events.WorkAbandoned(effect.attempt_id, now_s))
+
+    # Work, at the target's node
+
+    def receive_work(self, work_id, request):
+        """Take work that another node sent.
+
+        :param work_id: a new id, unique in this process.
+        :param request: the ``HTTPServerRequest``.
+        :raises pydantic.ValidationError: when the work header is not valid.
+        """
+        text = request.headers.get(wire.WORK_HEADER, "")
+        message = models.WorkMessage.model_validate_json(text)
+        now_s = self._shell.loop.time()
+        payload = Payload(
+            message.method,
+            message.path,
+            wire.filter_headers(request.headers),
+            request.body,
+        )
+        version = wire.Version(*message.config)
+        if version > self._config:
+            self._shell.handle(events.VersionHinted(message.address, version, now_s))
+        self._work[work_id] = (payload, (request, message.attempt))
+        request.connection.set_close_callback(lambda: self._lose_ingress(work_id))
+        self._hand_over(work_id, message, now_s)
+
+    def _lose_ingress(self, work_id):
+        if work_id in self._work:
+            now_s = self._shell.loop.time()
+            self._shell.handle(events.WorkAbandoned(work_id, now_s))
+
+    def reply_work(self, effect):
+        """Carry out ``ReplyWork``."""
+        _, origin = self._work.pop(effect.work_id, (None, None))
+        if origin is None:
+            now_s = self._shell.loop.time()
+            self._shell.handle(
+                events.AttemptAnswered(effect.work_id, effect.reply, now_s)
+            )
+            return
+        request, attempt = origin
+        headers = HTTPHeaders()
+        for name, value in effect.reply.headers:
+            headers.add(name, value)
+        headers[wire.REPLY_HEADER] = wire.encode_reply(
+            attempt, effect.reply, self._config
+        )
+        respond(request, 200, headers, effect.reply.body)
+
+    def run_on_target(self, effect):
+        """Carry out ``RunOnTarget``."""
+        payload, _ = self._work[effect.work_id]
+        exchange = Exchange()
+        self._running[effect.work_id] = exchange
+        self._shell.spawn(self._exchange_target(effect, payload, exchange))
+
+    async def _exchange_target(self, effect, payload, exchange):
+        now = self._shell.loop.time
+        headers = HTTPHeaders()
+        for name, value in payload.headers:
+            headers.add(name, value)
+        headers["Balsamdeal-Timeout-S"] = f"{effect.timeout_s:.3f}"
+        headers["Balsamdeal-Retry"] = "no"
+        try:
+            response = await self._shell.pool.fetch(
+                self._shell.settings.target_address,
+                payload.method,
+                payload.path,
+                headers,
+                payload.body,
+                timeout_s=effect.timeout_s,
+                once=not effect.idempotent,
+                exchange=exchange,
+            )
+            event = self._read_target_answer(effect, response)
+        except ExchangeError as error:
+            event = events.TargetFailed(
+                effect.work_id, error.step, error.written, now()
+            )
+        self._running.pop(effect.work_id, None)
+        self._shell.handle(event)
+
+    def _read_target_answer(self, effect, response):
+        now_s = self._shell.loop.time()
+        limit = self._shell.settings.max_body_bytes
+        if len(response.body) > limit:
+            return events.TargetFailed(effect.work_id, "size", True, now_s)
+        headers = response.headers
+        reply = Reply(
+            ANSWERED, response.status, wire.filter_headers(headers), response.body
+        )
+        return events.TargetAnswered(
+            effect.work_id,
+            reply,
+            headers.get("Not-Run") == "true",
+            headers.get("Draining") == "true",
+            now_s,
+        )
+
+    def cancel_target(self, effect):
+        """Carry out ``CancelTarget``."""
+        exchange = self._running.get(effect.work_id)
+        if exchange is not None:
+            exchange.cancel()
--- /dev/null
+++ b/balsamdeal/net/shell.py
@@ -0,0 +1,142 @@
+"""The shell: hands events to the reducer and carries out its effects.
+
+One loop on one thread. Every I/O task ends in exactly one event, whatever happens.
+"""
+
+import asyncio
+import logging
+import time
+from collections import deque
+
+from balsamdeal.core import effects, events
+from balsamdeal.core.node import Node
+from balsamdeal.documents import CONFIG, VMS
+from balsamdeal.errors import SourceError
+from balsamdeal.metrics import Metrics
+from balsamdeal.net.connections import ConnectionPool
+from balsamdeal.net.forwarding import Forwarding
+from balsamdeal.net.peers import PeerClient
+from balsamdeal.net.source import Source
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+POOL_BODY_MARGIN = 64_000_000  # bytes; a whole document may be larger than a body
+
+
+class Shell:
+    """Owns the reducer, the clients and the timers.
+
+    :param settings: checked ``settings.Settings``.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.node = Node.from_config(settings)
+        self.metrics = Metrics(self.node.distribution.counters)
+        self.pool = ConnectionPool(POOL_BODY_MARGIN)
+        keys = {CONFIG: settings.config_key, VMS: settings.vms_key}
+        self.source = Source(
+            self.pool, settings.platform_address, keys, self.metrics.count
+        )
+        self.peers = PeerClient(self)
+        self.forwarding = Forwarding(self)
+        self.exchanges = {}
+        self._queue = deque()
+        self._handling = False
+        self._tasks = set()
+        self._ticker = None
+        self._runners = {
+            effects.SetTimer: self._set_timer,
+            effects.ReadSource: self._read_source,
+            effects.ReportChange: self._report_change,
+            effects.SendView: self.peers.send_view,
+            effects.PullDelta: self.peers.pull_delta,
+            effects.SendInquiry: self.peers.send_inquiry,
+            effects.AnswerView: self._answer_exchange,
+            effects.AnswerInquiry: self._answer_exchange,
+            effects.AnswerCaller: self.forwarding.answer_caller,
+            effects.SendAttempt: self.forwarding.send_attempt,
+            effects.CancelAttempt: self.forwarding.cancel_attempt,
+            effects.RunOnTarget: self.forwarding.run_on_target,
+            effects.CancelTarget: self.forwarding.cancel_target,
+            effects.ReplyWork: self.forwarding.reply_work,
+        }
+
+    def start(self):
+        """Start the node and its periodic timer."""
+        self.handle(events.Started(round(time.time(), 3), self.loop.time()))
+        self._tick()
+
+    def stop(self):
+        """Stop the timer, the tasks and the connections."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self.pool.close()
+
+    def handle(self, event):
+        """Reduce an event, and run its effects and those that follow from them.
+
+        :param event: one of ``core.events``.
+        """
+        self._queue.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._queue:
+                for effect in self.node.reduce(self._queue.popleft()):
+                    self._runners[type(effect)](effect)
+        finally:
+            self._handling = False
+
+    def spawn(self, coroutine):
+        """Run a coroutine as a task that is kept until it ends."""
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("task failed", exc_info=task.exception())
+            self.metrics.count("task_errors")
+
+    def _tick(self):
+        self._ticker = self.loop.call_later(TICK_S, self._tick)
+        self.handle(events.Ticked(self.loop.time()))
+
+    def _set_timer(self, effect):
+        self.loop.call_at(effect.at_s, self._fire_timer, effect)
+
+    def _fire_timer(self, effect):
+        self.handle(events.TimerFired(effect.kind, effect.subject, self.loop.time()))
+
+    def _report_change(self, effect):
+        logger.info(effect.change, extra=effect.fields)
+
+    def _answer_exchange(self, effect):
+        respond = self.exchanges.pop(effect.exchange_id, None)
+        if respond is not None:
+            respond(effect)
+
+    def _read_source(self, effect):
+        self.spawn(self._fetch_source(effect))
+
+    async def _fetch_source(self, effect):
+        channel = effect.channel
+        known = self.node.distribution.channels[channel].document
+        try:
+            revision, document = await self.source.read(
+                channel, effect.after_revision, effect.wait_s, known
+            )
+        except SourceError as error:
+            event = events.SourceFailed(
+                channel, error.step, error.message, self.loop.time()
+            )
+        else:
+            event = events.SourceAnswered(channel, revision, document, self.loop.time())
+        self.handle(event)
--- /dev/null
+++ b/balsamdeal/net/source.py
@@ -0,0 +1,134 @@
+"""The platform's key-value service: reads and watches by its published HTTP API.
+
+The API is that of Consul's key-value store: ``GET /v1/kv/KEY?raw`` with blocking
+queries by ``index`` and ``wait``, and the revision in ``X-Consul-Index``.
+"""
+
+import json
+
+from pydantic import ValidationError
+from tornado.httputil import HTTPHeaders
+
+from balsamdeal.documents import CONFIG, build_document, hash_content
+from balsamdeal.errors import ExchangeError, SourceError
+from balsamdeal.models import Bundle, PartReference, VmListPart
+
+READ_TIMEOUT_S = 2.0
+REVISION_HEADER = "X-Consul-Index"
+MAX_PARTS = 10_000
+
+
+class Source:
+    """Reads the channels' documents from the platform.
+
+    :param pool: the ``ConnectionPool``.
+    :param address: ``IP:port`` of the platform.
+    :param keys: the key of each channel.
+    :param count: a function that counts reads and bytes by name.
+    """
+
+    def __init__(self, pool, address, keys, count):
+        self._pool = pool
+        self._address = address
+        self._keys = keys
+        self._count = count
+
+    async def read(self, channel, after_revision, wait_s, known):
+        """Return the revision and the document, or None when nothing is newer.
+
+        :param channel: the channel to read.
+        :param after_revision: wait for a revision above this one; 0 for none.
+        :param wait_s: how long the platform may wait, in seconds.
+        :param known: the document held, whose large parts need no reading.
+        :raises SourceError: when it cannot be read or does not fit together.
+        """
+        query = f"?raw&index={after_revision}&wait={wait_s:g}s" if wait_s else "?raw"
+        response = await self._fetch(self._keys[channel] + query, wait_s)
+        revision = self._parse_revision(response)
+        if wait_s and revision == after_revision:
+            return revision, None
+        text = self._decode(response.body, channel)
+        if channel == CONFIG:
+            parts = await self._read_bundle(text, known)
+        else:
+            parts = self._split_vms(text)
+        return revision, build_document(revision, parts, known)
+
+    async def _fetch(self, path, wait_s):
+        try:
+            response = await self._pool.fetch(
+                self._address,
+                "GET",
+                f"/v1/kv/{path}",
+                HTTPHeaders(),
+                timeout_s=wait_s + READ_TIMEOUT_S,
+            )
+        except ExchangeError as error:
+            raise SourceError(error.message, error.step, error.peer) from error
+        self._count("control_bytes", response.size)
+        if response.status != 200:
+            raise SourceError(f"status {response.status}", "read", self._address)
+        return response
+
+    def _parse_revision(self, response):
+        try:
+            return int(response.headers[REVISION_HEADER])
+        except (KeyError, ValueError) as error:
+            raise SourceError("no revision", "read", self._address) from error
+
+    def _decode(self, body, name):
+        try:
+            return body.decode()
+        except UnicodeDecodeError as error:
+            message = f"{name}: invalid UTF-8 at byte {error.start}"
+            raise SourceError(message, "decode", self._address) from error
+
+    async def _read_bundle(self, text, known):
+        """Return the parts of a bundle; large ones come from keys of their own."""
+        try:
+            bundle = Bundle.model_validate_json(text)
+        except ValidationError as error:
+            fault = error.errors()[0]
+            message = f"bundle: {fault['loc']}: {fault['msg']}"
+            raise SourceError(message, "decode", self._address) from error
+        if len(bundle.parts) > MAX_PARTS:
+            raise SourceError("too many parts", "decode", self._address)
+        parts = {}
+        for name, value in bundle.parts.items():
+            if isinstance(value, PartReference):
+                value = await self._read_part(name, value, known)
+            parts[name] = value
+        return parts
+
+    async def _read_part(self, name, reference, known):
+        digest = reference.sha256[:32]
+        if known is not None and known.hashes.get(name) == digest:
+            return known.parts[name]
+        response = await self._fetch(f"{reference.key}?raw", 0.0)
+        self._count("source_reads")
+        content = self._decode(response.body, name)
+        if hash_content(content) != digest:
+            # The part and the bundle were published at different moments.
+            raise SourceError(f"{name}: half published", "parts", self._address)
+        return content
+
+    def _split_vms(self, text):
+        """Return one part for each failure domain, alike on every node."""
+        try:
+            entries = VmListPart.model_validate_json(text).vms
+        except ValidationError as error:
+            fault = error.errors()[0]
+            message = f"VM list: {fault['loc']}: {fault['msg']}"
+            raise SourceError(message, "decode", self._address) from error
+        domains = {}
+        for entry in entries:
+            domains.setdefault(entry.failure_domain, []).append(entry.model_dump())
+        return {
+            domain: json.dumps(
+                {"vms": sorted(vms, key=lambda vm: vm["vm"])},
+                sort_keys=True,
+                separators=(",", ":"),
+                ensure_ascii=False,
+            )
+            for domain, vms in domains.items()
+        }
--- /dev/null
+++ b/balsamdeal/net/wire.py
@@ -0,0 +1,161 @@
+"""Conversion between wire models and the core's data classes."""
+
+from balsamdeal import models
+from balsamdeal.core.events import Finding, View
+from balsamdeal.core.replies import Load, Reply
+from balsamdeal.documents import CHANNELS, NO_VERSION, Delta, Version
+
+WORK_HEADER = "Balsamdeal-Work"
+REPLY_HEADER = "Balsamdeal-Reply"
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def pack_version(version):
+    """Return a version as it goes over the wire."""
+    return (version.revision, version.digest)
+
+
+def encode_view(view):
+    """Return a ``View`` as JSON bytes."""
+    message = models.ViewMessage(
+        vm=view.vm,
+        failure_domain=view.failure_domain,
+        address=view.address,
+        started_s=view.started_s,
+        versions={name: pack_version(item) for name, item in view.versions.items()},
+        source_age_s=view.source_age_s,
+        starting=view.starting,
+        draining=view.draining,
+    )
+    return message.model_dump_json().encode()
+
+
+def decode_view(body):
+    """Return the ``View`` in JSON bytes.
+
+    :raises pydantic.ValidationError: when it is none.
+    """
+    message = models.ViewMessage.model_validate_json(body)
+    versions = {
+        channel: Version(*message.versions.get(channel, pack_version(NO_VERSION)))
+        for channel in CHANNELS
+    }
+    return View(
+        message.vm,
+        message.failure_domain,
+        message.address,
+        message.started_s,
+        versions,
+        message.source_age_s,
+        message.starting,
+        message.draining,
+    )
+
+
+def encode_delta(delta):
+    """Return a ``Delta`` as JSON bytes."""
+    message = models.DeltaMessage(
+        base=None if delta.base is None else pack_version(delta.base),
+        version=pack_version(delta.version),
+        changed=delta.changed,
+        removed=list(delta.removed),
+    )
+    return message.model_dump_json().encode()
+
+
+def decode_delta(body):
+    """Return the ``Delta`` in JSON bytes."""
+    message = models.DeltaMessage.model_validate_json(body)
+    base = None if message.base is None else Version(*message.base)
+    return Delta(
+        base, Version(*message.version), message.changed, tuple(message.removed)
+    )
+
+
+def encode_reply(attempt, reply, config):
+    """Return a ``Reply`` without headers and body as the text of REPLY_HEADER."""
+    load = reply.load
+    message = models.ReplyMessage.model_construct(
+        attempt=attempt,
+        outcome=reply.outcome,
+        status=reply.status,
+        step=reply.step,
+        peer=reply.peer,
+        reason=reply.reason,
+        retry_after_s=reply.retry_after_s,
+        load=load
+        and models.LoadMessage.model_construct(
+            busy=load.busy,
+            queued=load.queued,
+            slots=load.slots,
+            draining=load.draining,
+        ),
+        moved_to=reply.moved_to,
+        config=pack_version(config),
+    )
+    return message.model_dump_json(ensure_ascii=True)
+
+
+def decode_reply(text, response):
+    """Return attempt id, ``Reply`` and configuration version of a response.
+
+    :param text: the text of REPLY_HEADER.
+    :param response: the ``connections.Response`` with headers and body.
+    """
+    message = models.ReplyMessage.model_validate_json(text)
+    load = message.load
+    reply = Reply(
+        message.outcome,
+        message.status,
+        filter_headers(response.headers),
+        response.body,
+        message.step,
+        message.peer,
+        message.reason,
+        message.retry_after_s,
+        load and Load(load.busy, load.queued, load.slots, load.draining),
+        message.moved_to,
+    )
+    return message.attempt, reply, Version(*message.config)
+
+
+def filter_headers(headers):
+    """Return the end-to-end headers as pairs; none of the system's own.
+
+    :param headers: tornado's ``HTTPHeaders``.
+    """
+    return tuple(
+        (name, value)
+        for name, value in headers.get_all()
+        if name.lower() not in HOP_HEADERS and not name.startswith("Balsamdeal-")
+    )
+
+
+def encode_finding(finding):
+    """Return a ``Finding`` as JSON bytes."""
+    message = models.InquiryAnswer(
+        state=finding.state,
+        vm=finding.vm,
+        since_s=finding.since_s,
+        vms_revision=finding.vms_revision,
+    )
+    return message.model_dump_json().encode()
+
+
+def decode_finding(body):
+    """Return the ``Finding`` in JSON bytes."""
+    message = models.InquiryAnswer.model_validate_json(body)
+    return Finding(message.vm, message.state, message.since_s, message.vms_revision)
--- /dev/null
+++ b/balsamdeal/settings.py
@@ -0,0 +1,176 @@
+"""Settings of the daemon: flags first, then ``BALSAMDEAL_*`` variables, then defaults.
+
+All faults are reported at once, before any socket opens.
+"""
+
+import argparse
+import ipaddress
+from dataclasses import dataclass
+
+from balsamdeal.core.distribution import TREE, VARIANTS
+from balsamdeal.errors import SettingsError
+from balsamdeal.snapshots import Vm
+
+ENVIRONMENT_PREFIX = "BALSAMDEAL_"
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+# One row for each setting: flag, default (None: required), help.
+DEFAULTS = (
+    ("vm", None, "name of this VM, as in the VM list"),
+    ("region", None, "region of this VM"),
+    ("failure-domain", None, "failure domain of this VM"),
+    ("service", None, "service of this VM's target"),
+    ("caller-address", None, "IP:port to serve callers on"),
+    ("peer-address", None, "IP:port to serve other nodes on"),
+    ("operator-address", None, "IP:port to serve operators on"),
+    ("target-address", None, "IP:port of this VM's target"),
+    ("platform-address", None, "IP:port of the configuration source and VM list"),
+    ("config-key", "balsamdeal/config", "key of the configuration at the source"),
+    ("vms-key", "balsamdeal/vms", "key of the VM list at the source"),
+    ("seeds", "", "comma-separated peer addresses to ask at the start"),
+    ("distribution", TREE, f"how versions spread: {', '.join(VARIANTS)}"),
+    ("fleet-size", "100", "expected number of nodes, which spreads starts"),
+    ("seed", "0", "seed of random choices; 0 draws one at the start"),
+    ("max-body-bytes", "1000000", "largest request or answer body, in bytes"),
+    ("drain-timeout-s", "30", "longest wait for work in flight after SIGTERM"),
+    ("log-level", "info", f"one of {', '.join(LOG_LEVELS)}"),
+)
+ADDRESSES = (
+    "caller-address",
+    "peer-address",
+    "operator-address",
+    "target-address",
+    "platform-address",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings; sizes in bytes, times in seconds."""
+
+    own_vm: Vm
+    caller_address: str
+    target_address: str
+    platform_address: str
+    config_key: str
+    vms_key: str
+    seeds: tuple[str, ...]
+    distribution: str
+    fleet_size: int
+    seed: int
+    max_body_bytes: int
+    drain_timeout_s: float
+    log_level: str
+
+
+def make_parser():
+    """Return the argument parser of the daemon."""
+    parser = argparse.ArgumentParser(
+        prog="balsamdeald",
+        description="One node of balsamdeal, beside one target VM.",
+        epilog=f"Each flag may be set as {ENVIRONMENT_PREFIX}NAME in the environment.",
+    )
+    for name, default, text in DEFAULTS:
+        shown = "required" if default is None else f"default: {default or 'none'}"
+        parser.add_argument(f"--{name}", default=None, help=f"{text} ({shown})")
+    return parser
+
+
+def collect_values(arguments, environment):
+    """Return the value of each setting by flag name; None where one is missing.
+
+    :param arguments: the parsed command line.
+    :param environment: a mapping such as ``os.environ``.
+    """
+    values = {}
+    for name, default, _ in DEFAULTS:
+        attribute = name.replace("-", "_")
+        value = getattr(arguments, attribute)
+        if value is None:
+            value = environment.get(ENVIRONMENT_PREFIX + attribute.upper(), default)
+        values[name] = value
+    return values
+
+
+def _check_address(name, value, faults):
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        faults.append(f"--{name}: {value!r} is not IP:port")
+
+
+def _parse_number(name, value, kind, low, high, faults):
+    try:
+        number = kind(value)
+    except ValueError:
+        faults.append(f"--{name}: {value!r} is not a number")
+        return low
+    if not low <= number <= high:
+        faults.append(f"--{name}: {value} is not between {low} and {high}")
+    return number
+
+
+def _check_choice(name, value, choices, faults):
+    if value not in choices:
+        faults.append(f"--{name}: {value!r} is not one of {', '.join(choices)}")
+
+
+def check_settings(values):
+    """Return the settings.
+
+    :param values: texts by flag name; None where a required one is missing.
+    :raises SettingsError: with every fault.
+    """
+    faults = []
+    for name, value in values.items():
+        if value is None or (name in ("vm", "service") and not value):
+            faults.append(f"--{name}: is required")
+    present = {name: value or "" for name, value in values.items()}
+    for name in ADDRESSES:
+        if present[name]:
+            _check_address(name, present[name], faults)
+    seeds = tuple(item.strip() for item in present["seeds"].split(",") if item.strip())
+    for seed in seeds:
+        _check_address("seeds", seed, faults)
+    _check_choice("distribution", present["distribution"], VARIANTS, faults)
+    _check_choice("log-level", present["log-level"], LOG_LEVELS, faults)
+    size = _parse_number("fleet-size", present["fleet-size"], int, 1, 100_000, faults)
+    seed = _parse_number("seed", present["seed"], int, 0, 2**63, faults)
+    body = _parse_number(
+        "max-body-bytes", present["max-body-bytes"], int, 1024, 2**30, faults
+    )
+    drain_s = _parse_number(
+        "drain-timeout-s", present["drain-timeout-s"], float, 0, 3600, faults
+    )
+    listened = [present[name] for name in ADDRESSES[:3] if present[name]]
+    if len(set(listened)) < len(listened):
+        faults.append("caller, peer and operator addresses must differ")
+    if faults:
+        raise SettingsError(faults)
+    own_vm = Vm(
+        present["vm"],
+        present["region"],
+        present["failure-domain"],
+        present["service"],
+        present["peer-address"],
+        present["operator-address"],
+        False,
+    )
+    return Settings(
+        own_vm,
+        present["caller-address"],
+        present["target-address"],
+        present["platform-address"],
+        present["config-key"],
+        present["vms-key"],
+        seeds,
+        present["distribution"],
+        size,
+        seed,
+        body,
+        drain_s,
+        present["log-level"],
+    )
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols for model checking."""
--- /dev/null
+++ b/standins/caller.py
@@ -0,0 +1,116 @@
+"""Stand-in for callers: single calls with checked answers, and open-loop load."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+
+from tornado.httputil import HTTPHeaders
+
+from balsamdeal.errors import ExchangeError
+from balsamdeal.net.connections import ConnectionPool
+from balsamdeal.net.servers import make_request_id
+
+MAX_BODY = 10_000_000
+FOREIGN = "foreign"
+BROKEN = "broken"
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """How a call ended; ``outcome`` is the node's word, FOREIGN or BROKEN."""
+
+    run_id: str
+    key: str
+    outcome: str
+    status: int
+    latency_s: float
+    retry_after_s: float
+    body: bytes
+    request_id: str
+
+
+class Caller:
+    """Calls nodes and checks that each answer belongs to its request."""
+
+    def __init__(self):
+        self.pool = ConnectionPool(MAX_BODY)
+        self.loop = asyncio.get_running_loop()
+
+    async def call(
+        self,
+        address,
+        workspace,
+        method,
+        path,
+        *,
+        run_id=None,
+        key="",
+        timeout_s=10.0,
+        since_s=None,
+        headers=None,
+    ):
+        """Return the ``Result`` of one call.
+
+        :param address: a node's callers' address, or a target's.
+        :param workspace: the workspace to call as.
+        :param method: the HTTP method.
+        :param path: the path.
+        :param run_id: the id that the target counts runs under.
+        :param key: an Idempotency-Key, or the empty string.
+        :param timeout_s: how long to wait, in seconds.
+        :param since_s: the moment that latency counts from; now if None.
+        :param headers: further headers.
+        """
+        run_id = run_id or make_request_id()
+        started_s = self.loop.time() if since_s is None else since_s
+        sent = HTTPHeaders(headers or {})
+        sent["Balsamdeal-Workspace"] = workspace
+        sent["Run-Id"] = run_id
+        if key:
+            sent["Idempotency-Key"] = key
+        try:
+            response = await self.pool.fetch(
+                address, method, path, sent, timeout_s=timeout_s, once=method == "POST"
+            )
+        except ExchangeError:
+            latency_s = self.loop.time() - started_s
+            return Result(run_id, key, BROKEN, 0, latency_s, 0.0, b"", "")
+        return Result(
+            run_id,
+            key,
+            self._check(response, run_id),
+            response.status,
+            self.loop.time() - started_s,
+            float(response.headers.get("Retry-After", 0)),
+            response.body,
+            response.headers.get("Balsamdeal-Request", ""),
+        )
+
+    @staticmethod
+    def _check(response, run_id):
+        outcome = response.headers.get("Balsamdeal-Outcome", "answered")
+        if outcome != "answered" or response.status != 200:
+            return outcome
+        try:
+            found = json.loads(response.body)
+        except ValueError:
+            return FOREIGN
+        return outcome if found.get("run_id") == run_id else FOREIGN
+
+    async def load(self, rate, duration_s, make_call):
+        """Start calls at a fixed rate, whatever the answers do; return results.
+
+        :param rate: calls a second.
+        :param duration_s: for how many seconds.
+        :param make_call: a function of the call's number and its due time that
+            returns a coroutine.
+        """
+        started_s = self.loop.time()
+        tasks = []
+        for number in range(int(rate * duration_s)):
+            due_s = started_s + number / rate
+            delay_s = due_s - self.loop.time()
+            if delay_s > 0:
+                await asyncio.sleep(delay_s)
+            tasks.append(asyncio.ensure_future(make_call(number, due_s)))
+        return list(await asyncio.gather(*tasks))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository: demo, measurements, tests."""
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,329 @@
+"""Starts a fleet of real processes on loopback addresses for demo, tests, measures.
+
+Each process gets addresses of its own below 127.0.0.0/8, so fleets do not meet.
+Only processes started here are ever signalled.
+"""
+
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass
+from pathlib import Path
+
+import yaml
+
+from balsamdeal.cli import NodeError, fetch_all, fetch_node
+from balsamdeal.folders import read_parts
+
+ROOT = Path(__file__).resolve().parent.parent
+CONFIG_KEY = "balsamdeal/config"
+VMS_KEY = "balsamdeal/vms"
+CALLER_PORT, PEER_PORT, OPERATOR_PORT, TARGET_PORT = 7001, 7002, 7003, 7004
+PLATFORM_PORT = 7000
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass
+class Member:
+    """One VM of the fleet: a node and its target."""
+
+    vm: str
+    region: str
+    failure_domain: str
+    service: str
+    host: str
+    state: str = "live"
+    process: subprocess.Popen | None = None
+    target: subprocess.Popen | None = None
+
+    @property
+    def caller_address(self):
+        """The address that callers use."""
+        return f"{self.host}:{CALLER_PORT}"
+
+    @property
+    def peer_address(self):
+        """The address that other nodes use."""
+        return f"{self.host}:{PEER_PORT}"
+
+    @property
+    def operator_address(self):
+        """The address that operators use."""
+        return f"{self.host}:{OPERATOR_PORT}"
+
+    @property
+    def target_address(self):
+        """The address of the target."""
+        return f"{self.host}:{TARGET_PORT}"
+
+
+def plan_members(deployment, count, seed=None):
+    """Return members spread over a deployment's domains and services.
+
+    :param deployment: a dictionary as in ``examples/*/deployment.yaml``.
+    :param count: the number of VMs.
+    :param seed: chooses the loopback network; None draws one.
+    """
+    octet = random.Random(seed).randint(2, 250)
+    domains = deployment["failure_domains"]
+    services = list(deployment["services"])
+    members = []
+    for number in range(count):
+        domain = domains[number % len(domains)]
+        service = services[number // len(domains) % len(services)]
+        host = f"127.{octet}.{1 + number // 200}.{1 + number % 200}"
+        members.append(
+            Member(f"vm-{number}", deployment["region"], domain, service, host)
+        )
+    return members
+
+
+def read_deployment(folder):
+    """Return an example folder's deployment."""
+    return yaml.safe_load((Path(folder) / "deployment.yaml").read_text())
+
+
+class Fleet:
+    """A platform, nodes and targets; a context manager that ends them all.
+
+    :param folder: the configuration folder to publish.
+    :param count: the number of VMs.
+    :param variant: the variant of distribution.
+    :param options: further settings of the daemon, as a mapping of environment
+        names without prefix.
+    """
+
+    def __init__(self, folder, count, variant="tree", options=None):
+        self.parts = read_parts(folder)
+        self.members = plan_members(read_deployment(folder), count)
+        self.variant = variant
+        self.options = options or {}
+        octet = self.members[0].host.split(".")[1]
+        self.platform_address = f"127.{octet}.0.1:{PLATFORM_PORT}"
+        self.platform = None
+        self.logs = Path(tempfile.mkdtemp(prefix="balsamdeal-"))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def _spawn(self, name, module, arguments, environment=None):
+        with open(self.logs / f"{name}.log", "ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **(environment or {})},
+                stdout=log,
+                stderr=log,
+            )
+
+    # Platform
+
+    def start_platform(self):
+        """Start the platform and publish the configuration and the VM list."""
+        self.platform = self._spawn(
+            "platform", "standins.platform", ["--address", self.platform_address]
+        )
+        self.wait_for(lambda: self.administrate("counts") is not None, 10)
+        self.publish()
+        self.publish_vms()
+
+    def administrate(self, path, body=b""):
+        """Send an admin call to the platform; return its answer, None if down."""
+        url = f"http://{self.platform_address}/admin/{path}"
+        try:
+            request = urllib.request.Request(url, data=body, method="POST")
+            with urllib.request.urlopen(request, timeout=5) as response:
+                return json.loads(response.read() or b"null") or True
+        except OSError:
+            return None
+
+    def publish(self, **changes):
+        """Publish the parts, with changes by part name, and return the revision."""
+        self.parts.update(changes)
+        return self.publish_text(json.dumps({"format": 1, "parts": self.parts}))
+
+    def publish_text(self, text):
+        """Publish a raw value of the configuration key."""
+        return self.administrate(f"publish/{CONFIG_KEY}", text.encode())
+
+    def publish_vms(self):
+        """Publish the VM list as the members stand."""
+        vms = [
+            {
+                "vm": member.vm,
+                "region": member.region,
+                "failure_domain": member.failure_domain,
+                "service": member.service,
+                "peer_address": member.peer_address,
+                "operator_address": member.operator_address,
+                "state": member.state,
+            }
+            for member in self.members
+            if member.state != "gone"
+        ]
+        return self.administrate(
+            f"publish/{VMS_KEY}", json.dumps({"vms": vms}).encode()
+        )
+
+    # Members
+
+    def start_target(self, member, slots=20, work_ms=5.0):
+        """Start a member's target."""
+        member.target = self._spawn(
+            f"{member.vm}-target",
+            "standins.target",
+            [
+                f"--addresses={member.target_address}",
+                f"--slots={slots}",
+                f"--work-ms={work_ms}",
+            ],
+        )
+
+    def start_node(self, member, platform_address=None):
+        """Start a member's node."""
+        seeds = random.Random(member.vm).sample(
+            [item.peer_address for item in self.members if item is not member],
+            min(3, len(self.members) - 1),
+        )
+        settings = {
+            "VM": member.vm,
+            "REGION": member.region,
+            "FAILURE_DOMAIN": member.failure_domain,
+            "SERVICE": member.service,
+            "CALLER_ADDRESS": member.caller_address,
+            "PEER_ADDRESS": member.peer_address,
+            "OPERATOR_ADDRESS": member.operator_address,
+            "TARGET_ADDRESS": member.target_address,
+            "PLATFORM_ADDRESS": platform_address or self.platform_address,
+            "SEEDS": ",".join(seeds),
+            "DISTRIBUTION": self.variant,
+            "FLEET_SIZE": str(len(self.members)),
+            **self.options,
+        }
+        environment = {f"BALSAMDEAL_{name}": text for name, text in settings.items()}
+        member.process = self._spawn(member.vm, "balsamdeal.daemon", [], environment)
+
+    def start(self, targets=True, slots=20, work_ms=5.0):
+        """Start everything and wait until all nodes are ready."""
+        self.start_platform()
+        for member in self.members:
+            if targets:
+                self.start_target(member, slots, work_ms)
+            self.start_node(member)
+        self.wait_ready()
+
+    def wait_ready(self, timeout_s=60):
+        """Wait until every node that was started is ready."""
+        started = [member for member in self.members if member.process is not None]
+        self.wait_for(lambda: all(map(self.is_ready, started)), timeout_s)
+
+    def running(self):
+        """Return the members whose node runs."""
+        return [m for m in self.members if m.process and m.process.poll() is None]
+
+    def is_ready(self, member):
+        """Return whether a node says that it serves callers."""
+        try:
+            return fetch_node(member.operator_address, "/ready")["ready"]
+        except NodeError:
+            return False
+
+    def fetch_status(self, member):
+        """Return a node's status."""
+        return fetch_node(member.operator_address, "/status")
+
+    def fetch_statuses(self, members=None):
+        """Return the statuses of nodes that answer, by VM."""
+        members = self.running() if members is None else members
+        by_address = {member.operator_address: member.vm for member in members}
+        answers = fetch_all(list(by_address), "/status")
+        return {
+            by_address[address]: answer
+            for address, answer in answers.items()
+            if not isinstance(answer, NodeError)
+        }
+
+    def fetch_counters(self, member):
+        """Return a node's counters."""
+        return fetch_node(member.operator_address, "/metrics.json")["counters"]
+
+    def switch_target(self, member, action):
+        """Send an admin call to a target, such as ``mode/hang``; return its counts."""
+        return fetch_node(member.target_address, f"/admin/{action}")
+
+    def fetch_runs(self):
+        """Return how often each run id ran, over all targets that answer."""
+        runs = {}
+        for member in self.members:
+            try:
+                counts = self.switch_target(member, "runs")["runs"]
+            except NodeError:
+                continue
+            for run_id, count in counts.items():
+                runs[run_id] = runs.get(run_id, 0) + count
+        return runs
+
+    def wait_for(self, condition, timeout_s):
+        """Poll a condition; raise ``TimeoutError`` when it does not come true."""
+        deadline_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f"gave up after {timeout_s} s; logs in {self.logs}")
+            time.sleep(0.02)
+
+    def wait_revision(self, revision, members=None, timeout_s=30, channel="config"):
+        """Wait until nodes run a revision or a newer one; return the seconds."""
+        members = self.running() if members is None else members
+        started_s = time.monotonic()
+
+        def in_force():
+            statuses = self.fetch_statuses(members)
+            return len(statuses) == len(members) and all(
+                status["channels"][channel]["revision"] >= revision
+                for status in statuses.values()
+            )
+
+        self.wait_for(in_force, timeout_s)
+        return time.monotonic() - started_s
+
+    def measure_convergence(self, revision, published_s, members=None):
+        """Return the seconds from a publication until it was in force everywhere.
+
+        :param revision: the revision published.
+        :param published_s: when it was, in seconds since the epoch.
+        :param members: the members to wait for; all running ones if None.
+        """
+        members = self.running() if members is None else members
+        self.wait_revision(revision, members)
+        statuses = self.fetch_statuses(members).values()
+        applied = [item["channels"]["config"]["applied_at_s"] for item in statuses]
+        return max(applied) - published_s
+
+    def stop(self):
+        """End every process that was started here."""
+        processes = [self.platform]
+        for member in self.members:
+            processes += [member.process, member.target]
+        processes = [p for p in processes if p is not None and p.poll() is None]
+        for process in processes:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in processes:
+            process.wait()
+
+
+def read_usage(process):
+    """Return processor seconds and resident bytes of a process."""
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(")", 1)[1].split()
+    pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S, pages * PAGE_BYTES
