Let dated keys run past a dead home node; make the clock skew a setting

Cause: charges whose first-ranked VM had died were answered unknown until the VM list dropped it, and all charges in the first 2 s after a start, as the margin for clock skew was 2 s. Ruled out: the retry budget (each unknown answer named step=memory). Change: a refused connection shows that no process runs there; a key first sent after that moment cannot have run at it.

--- a/balsamdeal/core/ingress.py
+++ b/balsamdeal/core/ingress.py
@@ -76,9 +76,11 @@
 
     :param distribution: the ``Distribution``, for the snapshot in force.
     :param routing: the ``Routing`` that chooses targets.
+    :param policy: the ``outcomes.KeyPolicy``.
     """
 
-    def __init__(self, distribution, routing):
+    def __init__(self, distribution, routing, policy):
+        self.policy = policy
         self.distribution = distribution
         self.membership = distribution.membership
         self.routing = routing
@@ -409,7 +411,7 @@
         event = question.event
         distribution = self.distribution
         wall_s = distribution.started_wall_s + now_s - distribution.started_s
-        verdict, vm = outcomes.judge(event.key, question.findings, wall_s)
+        verdict, vm = outcomes.judge(event.key, question.findings, wall_s, self.policy)
         if verdict == outcomes.ELSEWHERE:
             states = {item.vm: item.state for item in question.findings}
             return states[vm], vm
--- a/balsamdeal/core/membership.py
+++ b/balsamdeal/core/membership.py
@@ -12,8 +12,8 @@
 DEPARTED_MEMORY_S = 600.0
 WATCHERS_PER_DOMAIN = 2
 REFUSED = "refused"
-REFUSAL_GAP_S = 1.5
-REFUSAL_PROBE_S = 0.7
+REFUSAL_GAP_S = 0.5
+REFUSAL_PROBE_S = 0.15
 
 
 def compute_score(subject, vm_name):
@@ -103,7 +103,7 @@
         """Note that a VM refused a connection: no process serves there.
 
         Refusals count as one span while the gaps between them are shorter than a
-        new process needs before it accepts keys; see ``outcomes.CLOCK_SKEW_S``.
+        process that was started and lost again in between would last.
         """
         since_s, last_s = self._refusals.get(address, (now_s, now_s))
         if now_s - last_s > REFUSAL_GAP_S:
--- a/balsamdeal/core/node.py
+++ b/balsamdeal/core/node.py
@@ -27,15 +27,16 @@
     :param variant: the variant of distribution.
     :param fleet_size: the expected number of nodes.
     :param seed: the seed of all random choices.
+    :param policy: the ``outcomes.KeyPolicy``.
     """
 
-    def __init__(self, own, seeds, variant, fleet_size, seed):
+    def __init__(self, own, seeds, variant, fleet_size, seed, policy):
         self.own = own
         self.membership = Membership(own, seeds)
         self.distribution = Distribution(self.membership, variant, fleet_size, seed)
         self.routing = Routing(self.membership, Random(seed + 1))
-        self.ingress = Ingress(self.distribution, self.routing)
-        self.work = Work(self.distribution, own)
+        self.ingress = Ingress(self.distribution, self.routing, policy)
+        self.work = Work(self.distribution, own, policy)
         self._last_event_s = None
         self._resumed_s = None
         self._reducers = {
@@ -75,6 +76,7 @@
             settings.distribution,
             settings.fleet_size,
             settings.seed,
+            settings.key_policy,
         )
 
     def reduce(self, event):
--- a/balsamdeal/core/outcomes.py
+++ b/balsamdeal/core/outcomes.py
@@ -18,8 +18,6 @@
 MEMORY_S = 600.0
 MAX_RECORDS = 20_000
 MAX_STORED_BODY = 65_536  # bytes
-RESEND_HORIZON_S = 30.0
-CLOCK_SKEW_S = 2.0
 
 ABSENT = "absent"
 CLEARING = "clearing"
@@ -43,6 +41,18 @@
     return (parsed.int >> 80) / 1000.0 if parsed.version == 7 else None
 
 
+@dataclass(frozen=True, slots=True)
+class KeyPolicy:
+    """What is taken for granted about keys; times in seconds.
+
+    ``clock_skew_s`` bounds how far clocks of callers and VMs differ, which dated
+    keys rest on. Undated keys are resent within ``resend_horizon_s`` only.
+    """
+
+    clock_skew_s: float = 0.5
+    resend_horizon_s: float = 30.0
+
+
 @dataclass(slots=True)
 class Record:
     """What is remembered of a key.
@@ -136,7 +146,7 @@
         return record.waiters if record else []
 
 
-def list_inquiries(membership, key, service, in_doubt, now_s):
+def list_inquiries(membership, key, service, in_doubt, now_s, policy):
     """Return the VMs that must be asked before this node runs a key.
 
     These are all VMs that rank above this node, and below it those that ranked
@@ -148,6 +158,7 @@
     :param service: the service's name.
     :param in_doubt: whether to ask all VMs of the service.
     :param now_s: the loop's time in seconds.
+    :param policy: the ``KeyPolicy``.
     """
     own = membership.own
     members = {vm.name: vm for vm in membership.list_service(service)}
@@ -162,40 +173,40 @@
         if membership.acknowledged_revision.get(vm.name, 0) < revision:
             inquiries.append(vm)
         joined_s = membership.joined_s.get(vm.name, float("-inf"))
-        if now_s - joined_s > RESEND_HORIZON_S:
+        if now_s - joined_s > policy.resend_horizon_s:
             break
     return inquiries
 
 
-def was_sent_after(key, moment_s, now_wall_s):
+def was_sent_after(key, moment_s, now_wall_s, policy):
     """Return whether a key was first sent after a moment; no if that is not sure.
 
-    Undated keys are taken to be resent within RESEND_HORIZON_S only.
-
     :param key: the idempotency key.
     :param moment_s: the moment in seconds since the epoch.
     :param now_wall_s: the time in seconds since the epoch.
+    :param policy: the ``KeyPolicy``.
     """
     birth_s = parse_birth_s(key)
     if birth_s is None:
-        return now_wall_s - moment_s >= RESEND_HORIZON_S
-    return birth_s > moment_s + CLOCK_SKEW_S
+        return now_wall_s - moment_s >= policy.resend_horizon_s
+    return birth_s > moment_s + policy.clock_skew_s
 
 
-def covers(key, started_s, now_wall_s):
+def covers(key, started_s, now_wall_s, policy):
     """Return whether a process's memory reaches back to a key's first sending.
 
     :param key: the idempotency key.
     :param started_s: the process's start in seconds since the epoch.
     :param now_wall_s: the time in seconds since the epoch.
+    :param policy: the ``KeyPolicy``.
     """
     birth_s = parse_birth_s(key)
     if birth_s is not None and now_wall_s - birth_s > MEMORY_S:
         return False
-    return was_sent_after(key, started_s, now_wall_s)
+    return was_sent_after(key, started_s, now_wall_s, policy)
 
 
-def find_departed_owner(membership, key, service, now_s, now_wall_s):
+def find_departed_owner(membership, key, service, now_s, now_wall_s, policy):
     """Return a departed VM that may have run the key, or the empty string.
 
     :param membership: the node's ``Membership``.
@@ -203,18 +214,19 @@
     :param service: the service's name.
     :param now_s: the loop's time in seconds.
     :param now_wall_s: the same moment in seconds since the epoch.
+    :param policy: the ``KeyPolicy``.
     """
     own_score = compute_score(key, membership.own.name)
     for name, (vm, departed_s) in membership.departed.items():
         if vm.service != service or compute_score(key, name) < own_score:
             continue
         departed_wall_s = now_wall_s - (now_s - departed_s)
-        if not was_sent_after(key, departed_wall_s, now_wall_s):
+        if not was_sent_after(key, departed_wall_s, now_wall_s, policy):
             return name
     return ""
 
 
-def judge(key, findings, now_wall_s):
+def judge(key, findings, now_wall_s, policy):
     """Return CLEAR, ELSEWHERE or UNPROVED, and the VM that decided it.
 
     A VM that refuses connections runs no process. A key that was first sent after
@@ -223,16 +235,17 @@
     :param key: the idempotency key.
     :param findings: one ``events.Finding`` for each VM that was asked.
     :param now_wall_s: the time in seconds since the epoch.
+    :param policy: the ``KeyPolicy``.
     """
     for finding in findings:
         if finding.state in (RUNNING, DONE):
             return ELSEWHERE, finding.vm
     for finding in findings:
         if finding.state == ENDED:
-            proved = was_sent_after(key, finding.since_s, now_wall_s)
+            proved = was_sent_after(key, finding.since_s, now_wall_s, policy)
         else:
             proved = finding.state == ABSENT and covers(
-                key, finding.since_s, now_wall_s
+                key, finding.since_s, now_wall_s, policy
             )
         if not proved:
             return UNPROVED, finding.vm
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -43,12 +43,14 @@
 
     :param distribution: the ``Distribution``, for versions and start times.
     :param own: the ``snapshots.Vm`` of this node.
+    :param policy: the ``outcomes.KeyPolicy``.
     """
 
-    def __init__(self, distribution, own):
+    def __init__(self, distribution, own, policy):
         self.distribution = distribution
         self.membership = distribution.membership
         self.own = own
+        self.policy = policy
         self.admission = Admission(DEFAULT_SLOTS)
         self.outcomes = outcomes.Outcomes(own.name)
         self.jobs = {}
@@ -135,14 +137,16 @@
             return self._begin(job, now_s)
         wall_s = self._get_wall_s(now_s)
         membership = self.membership
-        if not outcomes.covers(event.key, self.distribution.started_wall_s, wall_s):
+        policy = self.policy
+        started_s = self.distribution.started_wall_s
+        if not outcomes.covers(event.key, started_s, wall_s, policy):
             job.doubt = self.own.name
         else:
             job.doubt = outcomes.find_departed_owner(
-                membership, event.key, event.service, now_s, wall_s
+                membership, event.key, event.service, now_s, wall_s, policy
             )
         vms = outcomes.list_inquiries(
-            membership, event.key, event.service, bool(job.doubt), now_s
+            membership, event.key, event.service, bool(job.doubt), now_s, policy
         )
         if not vms and job.doubt:
             return self._leave_unproved(job, job.doubt)
@@ -168,7 +172,7 @@
             "memory",
             peer,
             "an earlier copy of this key may have run where its outcome was lost",
-            outcomes.RESEND_HORIZON_S,
+            self.policy.resend_horizon_s,
         )
         result = [self._reply(event.work_id, reply)]
         return result + self._reply_waiters(self.outcomes.forget(event.key), reply)
@@ -196,7 +200,9 @@
 
     def _conclude(self, job, now_s):
         key = job.event.key
-        verdict, vm = outcomes.judge(key, job.findings, self._get_wall_s(now_s))
+        verdict, vm = outcomes.judge(
+            key, job.findings, self._get_wall_s(now_s), self.policy
+        )
         record = self.outcomes.records[key]
         if record.state == outcomes.BARRED:
             verdict, vm = outcomes.ELSEWHERE, record.asker
--- a/balsamdeal/settings.py
+++ b/balsamdeal/settings.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from balsamdeal.core.distribution import TREE, VARIANTS
+from balsamdeal.core.outcomes import KeyPolicy
 from balsamdeal.errors import SettingsError
 from balsamdeal.snapshots import Vm
 
@@ -31,6 +32,8 @@
     ("distribution", TREE, f"how versions spread: {', '.join(VARIANTS)}"),
     ("fleet-size", "100", "expected number of nodes, which spreads starts"),
     ("seed", "0", "seed of random choices; 0 draws one at the start"),
+    ("clock-skew-s", "0.5", "how far clocks of callers and VMs may differ"),
+    ("resend-horizon-s", "30", "how long callers resend an undated key at most"),
     ("max-body-bytes", "1000000", "largest request or answer body, in bytes"),
     ("drain-timeout-s", "30", "longest wait for work in flight after SIGTERM"),
     ("log-level", "info", f"one of {', '.join(LOG_LEVELS)}"),
@@ -58,6 +61,7 @@
     distribution: str
     fleet_size: int
     seed: int
+    key_policy: KeyPolicy
     max_body_bytes: int
     drain_timeout_s: float
     log_level: str
@@ -142,6 +146,12 @@
     body = _parse_number(
         "max-body-bytes", present["max-body-bytes"], int, 1024, 2**30, faults
     )
+    skew_s = _parse_number(
+        "clock-skew-s", present["clock-skew-s"], float, 0, 60, faults
+    )
+    horizon_s = _parse_number(
+        "resend-horizon-s", present["resend-horizon-s"], float, 1, 300, faults
+    )
     drain_s = _parse_number(
         "drain-timeout-s", present["drain-timeout-s"], float, 0, 3600, faults
     )
@@ -170,6 +180,7 @@
         present["distribution"],
         size,
         seed,
+        KeyPolicy(skew_s, horizon_s),
         body,
         drain_s,
         present["log-level"],
