--- a/balsamdeal/core/distribution.py
+++ b/balsamdeal/core/distribution.py
@@ -120,6 +120,10 @@
             return None
         return max(0.0, now_s - self.source_heard_s)
 
+    def get_wall_s(self, now_s):
+        """Return a moment of the loop's clock in seconds since the epoch."""
+        return self.started_wall_s + now_s - self.started_s
+
     def make_view(self, now_s):
         """Return what this node says of itself."""
         own = self.membership.own
@@ -331,7 +335,7 @@
         membership = self.membership
         membership.trust(view.address)
         membership.note_draining(view.vm, view.draining, now_s)
-        membership.note_revision(view.vm, view.versions[VMS].revision)
+        membership.note_revision(view.vm, view.versions[VMS].revision, now_s)
         if view.source_age_s is not None:
             heard_s = now_s - view.source_age_s
             self.source_heard_s = max(self.source_heard_s or heard_s, heard_s)
--- a/balsamdeal/core/effects.py
+++ b/balsamdeal/core/effects.py
@@ -89,6 +89,7 @@
     fresh: bool
     idempotent: bool
     timeout_s: float
+    received_s: float
     new_connection: bool
 
 
--- a/balsamdeal/core/events.py
+++ b/balsamdeal/core/events.py
@@ -180,7 +180,8 @@
     """An ingress hands over work for this node's own target.
 
     ``fresh`` says that the key was made for this attempt, so no copy of it can
-    have been sent anywhere else.
+    have been sent anywhere else. ``received_s`` is when the ingress received it, in
+    seconds since the epoch.
     """
 
     work_id: str
@@ -191,6 +192,7 @@
     fresh: bool
     idempotent: bool
     timeout_s: float
+    received_s: float
     now_s: float
 
 
@@ -235,11 +237,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Finding:
-    """What a peer knows of a key; ``state`` is absent, running, done, ended or lost.
+    """What a peer knows of a key.
 
-    ``ended`` stands for a peer whose VM refuses connections, so that no process
-    runs there, ``lost`` for one that could not be asked. ``since_s`` is when the
-    process started, or has ended, in seconds since the epoch.
+    ``state`` is absent, running, done, barred, never, ended or lost. ``barred`` tells
+    whoever asks for a caller that another VM may run it, ``never`` that a caller
+    asked about it before. ``ended`` stands for a peer whose VM refuses connections,
+    so that no process runs there, ``lost`` for one that could not be asked.
+    ``since_s`` is when the process started, or has ended, in seconds since the epoch.
     """
 
     vm: str
--- a/balsamdeal/core/ingress.py
+++ b/balsamdeal/core/ingress.py
@@ -5,7 +5,7 @@
 """
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from balsamdeal.core import effects, outcomes
 from balsamdeal.core.membership import REFUSED, rank
@@ -18,7 +18,8 @@
     make_unknown,
 )
 from balsamdeal.core.retries import RetryBudget
-from balsamdeal.snapshots import match_route
+from balsamdeal.documents import VMS
+from balsamdeal.snapshots import IDEMPOTENT_METHODS, match_route
 
 DEADLINE_TIMER = "deadline"
 HEDGE_TIMER = "hedge"
@@ -96,10 +97,10 @@
         distribution = self.distribution
         if distribution.draining:
             reply = make_not_run("drain", "", "this node is stopping")
-            return [self._answer(event, None, reply, 0)]
+            return [self._refuse(event, reply)]
         if distribution.starting or distribution.snapshot is None:
             reply = make_not_run("start", "", "no configuration is in force here yet")
-            return [self._answer(event, None, reply, 0)]
+            return [self._refuse(event, reply)]
         if event.now_s < self.parked_until_s:
             self.parked.append(event)
             return []
@@ -113,7 +114,7 @@
                 peer=event.workspace,
                 reason=f"no route for {event.method} {event.path}",
             )
-            return [self._answer(event, None, reply, 0)]
+            return [self._refuse(event, reply)]
         timeout_s = route.traffic_class.timeout_s
         if event.timeout_s is not None:
             timeout_s = min(timeout_s, event.timeout_s)
@@ -129,6 +130,12 @@
             result.append(effects.SetTimer(HEDGE_TIMER, event.request_id, at_s))
         return result
 
+    def _refuse(self, event, reply):
+        """Refuse a request at once; an earlier copy of its key may have run."""
+        if event.key and event.method not in IDEMPOTENT_METHODS:
+            reply = replace(reply, outcome=UNKNOWN)
+        return self._answer(event, None, reply, 0)
+
     def _get_budget(self, service):
         budget = self.budgets.get(service)
         if budget is None:
@@ -181,6 +188,7 @@
                 not event.key,
                 request.idempotent,
                 max(0.001, request.deadline_s - now_s),
+                self.distribution.get_wall_s(event.now_s),
                 request.sent > 1,
             )
         ]
@@ -200,7 +208,7 @@
         service = request.route.service.name
         if request.last is not None:
             return request.last
-        if request.keyed and self.membership.departed:
+        if request.keyed:
             reason = "no target is left that knows this key"
             return make_unknown("choose", service, reason)
         return make_not_run("choose", service, "no target takes work")
@@ -229,11 +237,11 @@
         request.last = reply
         if reply.moved_to:
             return result + self._follow(request, reply, event.now_s)
-        if reply.outcome == NOT_RUN:
-            if request.keyed and not self._is_draining(reply):
-                return result + self._finish(request, reply)
-            return result + self._retry(request, event.now_s)
-        if request.idempotent:
+        if request.keyed:
+            if self._is_draining(reply) and reply.step == "drain":
+                return result + self._retry(request, event.now_s)
+            return result + self._finish(request, reply)
+        if reply.outcome == NOT_RUN or request.idempotent:
             return result + self._retry(request, event.now_s)
         return result + self._finish(request, reply)
 
@@ -412,19 +420,24 @@
     def _judge_question(self, question, now_s):
         event = question.event
         distribution = self.distribution
-        wall_s = distribution.started_wall_s + now_s - distribution.started_s
-        verdict, vm = outcomes.judge(event.key, question.findings, wall_s, self.policy)
-        if verdict == outcomes.ELSEWHERE:
-            states = {item.vm: item.state for item in question.findings}
-            return states[vm], vm
+        for finding in question.findings:
+            if finding.state in (outcomes.RUNNING, outcomes.DONE):
+                return finding.state, finding.vm
         departed = [
             name
             for name, (item, _) in self.membership.departed.items()
             if item.service == event.service
         ]
         missing = len(question.findings) < question.expected
-        if verdict == outcomes.UNPROVED or departed or missing:
-            return UNKNOWN, vm or "".join(departed[:1])
+        held = distribution.channels[VMS].version.revision
+        # A newer list may hold a VM that was not asked.
+        newer = any(item.vms_revision > held for item in question.findings)
+        wall_s = distribution.get_wall_s(now_s)
+        unrun = outcomes.is_proved_unrun(
+            event.key, question.findings, wall_s, self.policy
+        )
+        if departed or missing or newer or not unrun:
+            return UNKNOWN, "".join(departed[:1])
         return NOT_RUN, ""
 
     def is_idle(self):
--- a/balsamdeal/core/membership.py
+++ b/balsamdeal/core/membership.py
@@ -44,7 +44,7 @@
         self.joined_s = {}
         self.departed = {}
         self.changed_revision = {}
-        self.acknowledged_revision = {}
+        self._agreed = {}
         self._suspected_until = {}
         self._draining_until = {}
         self._refusals = {}
@@ -147,10 +147,24 @@
         until_s = self._draining_until.get(vm.name)
         return until_s is None or now_s >= until_s
 
-    def note_revision(self, vm_name, revision):
-        """Remember the newest VM list that a VM is known to hold."""
-        known = self.acknowledged_revision.get(vm_name, 0)
-        self.acknowledged_revision[vm_name] = max(known, revision)
+    def note_revision(self, vm_name, revision, now_s):
+        """Note which VM list a VM holds.
+
+        What counts is when it was first known to hold the last change of its own
+        service, so later lists that do not concern the service move nothing.
+        """
+        vm = self.vms.get(vm_name)
+        if vm is None:
+            return
+        changed = self.changed_revision.get(vm.service, 0)
+        known, _ = self._agreed.get(vm_name, (-1, 0.0))
+        if known < changed <= revision:
+            self._agreed[vm_name] = (revision, now_s)
+
+    def get_agreed_s(self, vm):
+        """Return since when a VM is known to hold its service's list, or None."""
+        known, agreed_s = self._agreed.get(vm.name, (-1, 0.0))
+        return agreed_s if known >= self.changed_revision.get(vm.service, 0) else None
 
     def rank_domain(self, subject):
         """Return the VMs of the own failure domain, ranked for a subject."""
--- a/balsamdeal/core/outcomes.py
+++ b/balsamdeal/core/outcomes.py
@@ -23,7 +23,9 @@
 CLEARING = "clearing"
 RUNNING = "running"
 DONE = "done"
+SHED = "shed"
 BARRED = "barred"
+NEVER = "never"
 ENDED = "ended"
 LOST = "lost"
 
@@ -57,7 +59,9 @@
 class Record:
     """What is remembered of a key.
 
-    ``state`` is CLEARING while others are asked, RUNNING, DONE or BARRED.
+    ``state`` is CLEARING while others are asked, RUNNING, DONE, SHED after a caller
+    was told that it has not run, BARRED in favour of ``asker``, or NEVER after a
+    caller asked about it.
     """
 
     state: str
@@ -93,13 +97,16 @@
         for key in expired:
             del self.records[key]
 
-    def has_room(self):
+    def has_room(self, fresh):
         """Return whether a key can be noted.
 
         At the bound new keys are refused: dropping a young record could let a
-        resent key run twice.
+        resent key run twice. Keys made by an ingress are not resent, so they leave
+        half of the room to those of callers.
+
+        :param fresh: whether the key was made by an ingress.
         """
-        return len(self.records) < MAX_RECORDS
+        return len(self.records) < (MAX_RECORDS // 2 if fresh else MAX_RECORDS)
 
     def begin(self, key, state, now_s):
         """Note that a key is CLEARING or RUNNING."""
@@ -117,20 +124,27 @@
         """
         record = self.find(key, now_s)
         if record is None:
-            self.bar(key, asker, now_s)
+            self._bar(key, asker, now_s)
+            return ABSENT
+        if record.state == SHED:
+            if asker:
+                return RUNNING
+            self._bar(key, asker, now_s)
             return ABSENT
         if record.state == CLEARING:
             own_score = compute_score(key, self.own_name)
             if asker and compute_score(key, asker) < own_score:
                 return RUNNING
-            record.state = BARRED
+            record.state = BARRED if asker else NEVER
             record.asker = asker
             return ABSENT
-        return ABSENT if record.state == BARRED else record.state
+        if record.state == BARRED and asker:
+            return ABSENT
+        return record.state
 
-    def bar(self, key, asker, now_s):
-        """Note that an unknown key must never run here."""
-        self.records[key] = Record(BARRED, now_s, asker=asker)
+    def _bar(self, key, asker, now_s):
+        state = BARRED if asker else NEVER
+        self.records[key] = Record(state, now_s, asker=asker)
 
     def finish(self, key, reply):
         """Keep the reply of a key; return the work that waits for it."""
@@ -140,24 +154,47 @@
         waiters, record.waiters = record.waiters, []
         return waiters
 
+    def refuse(self, key, now_s):
+        """Note that a key did not run and a caller hears so.
+
+        Copies that were sent before must not run any more; see ``is_refused``.
+
+        :returns: the work that waits for the key.
+        """
+        record = self.records.pop(key)
+        self.records[key] = Record(SHED, now_s)
+        return record.waiters
+
+    def is_refused(self, record, received_s, policy):
+        """Return whether work was received before its key was called not run.
+
+        :param record: a record that is SHED.
+        :param received_s: when the ingress received the work, in the time of
+            ``Record.noted_s``.
+        :param policy: the ``KeyPolicy``.
+        """
+        return received_s <= record.noted_s + policy.clock_skew_s
+
     def forget(self, key):
-        """Drop a key that provably did not run; return the work that waits for it."""
+        """Drop a key whose outcome stays unknown; return the work that waits."""
         record = self.records.pop(key, None)
         return record.waiters if record else []
 
 
-def list_inquiries(membership, key, service, in_doubt, now_s, policy):
+def list_inquiries(membership, key, service, in_doubt, now_s, wall_s, policy):
     """Return the VMs that must be asked before this node runs a key.
 
     These are all VMs that rank above this node, and below it those that ranked
-    first in some older list and are not known to hold the list in force. When this
-    node's own memory leaves a doubt, all are asked, as one may have the answer.
+    first in some older list, unless they were known to hold the list in force before
+    the key was first sent. When this node's own memory leaves a doubt, all are asked,
+    as one may have the answer.
 
     :param membership: the node's ``Membership``.
     :param key: the idempotency key.
     :param service: the service's name.
     :param in_doubt: whether to ask all VMs of the service.
     :param now_s: the loop's time in seconds.
+    :param wall_s: the same moment in seconds since the epoch.
     :param policy: the ``KeyPolicy``.
     """
     own = membership.own
@@ -168,9 +205,11 @@
     if in_doubt:
         return ranking[:position] + ranking[position + 1 :]
     inquiries = ranking[:position]
-    revision = membership.changed_revision.get(service, 0)
     for vm in ranking[position + 1 :]:
-        if membership.acknowledged_revision.get(vm.name, 0) < revision:
+        agreed_s = membership.get_agreed_s(vm)
+        if agreed_s is None or not was_sent_after(
+            key, wall_s - (now_s - agreed_s), wall_s, policy
+        ):
             inquiries.append(vm)
         joined_s = membership.joined_s.get(vm.name, float("-inf"))
         if now_s - joined_s > policy.resend_horizon_s:
@@ -227,10 +266,11 @@
 
 
 def judge(key, findings, now_wall_s, policy):
-    """Return CLEAR, ELSEWHERE or UNPROVED, and the VM that decided it.
+    """Return CLEAR, ELSEWHERE, UNPROVED or NEVER, and the VM that decided it.
 
-    A VM that refuses connections runs no process. A key that was first sent after
-    that process ended cannot have run there.
+    NEVER means that a caller asked about the key. A VM that refuses connections runs
+    no process. A key that was first sent after its process ended cannot have run
+    there.
 
     :param key: the idempotency key.
     :param findings: one ``events.Finding`` for each VM that was asked.
@@ -240,6 +280,9 @@
     for finding in findings:
         if finding.state in (RUNNING, DONE):
             return ELSEWHERE, finding.vm
+    for finding in findings:
+        if finding.state == NEVER:
+            return NEVER, finding.vm
     for finding in findings:
         if finding.state == ENDED:
             proved = was_sent_after(key, finding.since_s, now_wall_s, policy)
@@ -250,3 +293,18 @@
         if not proved:
             return UNPROVED, finding.vm
     return CLEAR, ""
+
+
+def is_proved_unrun(key, findings, now_wall_s, policy):
+    """Return whether findings prove to a caller who asks that a key has not run.
+
+    :param key: the idempotency key.
+    :param findings: one ``events.Finding`` for each VM of the service.
+    :param now_wall_s: the time in seconds since the epoch.
+    :param policy: the ``KeyPolicy``.
+    """
+    return all(
+        finding.state in (ABSENT, NEVER)
+        and covers(key, finding.since_s, now_wall_s, policy)
+        for finding in findings
+    )
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -68,10 +68,6 @@
             admission.busy, len(admission.queue), admission.slots, self.draining
         )
 
-    def _get_wall_s(self, now_s):
-        distribution = self.distribution
-        return distribution.started_wall_s + now_s - distribution.started_s
-
     def receive(self, event):
         """Take work from an ingress, or reply why it does not run here."""
         self._update_slots()
@@ -81,18 +77,17 @@
             if result is not None:
                 return result
         if event.service != self.own.service:
-            reason = f"this node serves {self.own.service}"
-            return self._refuse(event.work_id, "route", reason)
+            return self._refuse(event, "route", f"here is {self.own.service}")
         if self.draining:
-            return self._refuse(event.work_id, "drain", "the target is leaving")
+            return self._refuse(event, "drain", "the target is leaving")
         margin_s = min(REPLY_MARGIN_S, event.timeout_s / 4)
         deadline_s = event.now_s + event.timeout_s - margin_s
         job = Job(event, QUEUED, deadline_s)
-        if not remembered:
+        if not remembered or (event.fresh and not self.outcomes.has_room(True)):
             self.jobs[event.work_id] = job
             return self._admit(job, event.now_s)
-        if not self.outcomes.has_room():
-            return self._refuse(event.work_id, "memory", "too many keys are remembered")
+        if not self.outcomes.has_room(False):
+            return self._refuse(event, "memory", "too many keys are remembered")
         return self._clear(job, event.now_s)
 
     def _update_slots(self):
@@ -100,10 +95,14 @@
         if snapshot is not None and self.own.service in snapshot.services:
             self.admission.slots = snapshot.services[self.own.service].slots
 
-    def _refuse(self, work_id, step, reason):
+    def _refuse(self, event, step, reason):
+        """Refuse work at once; an earlier copy of a caller's key may have run."""
+        make = make_not_run
+        if event.key and not event.fresh and not event.idempotent:
+            make = make_unknown
         retry_after_s = self.admission.get_retry_after_s()
-        reply = make_not_run(step, self.own.name, reason, retry_after_s)
-        return [self._reply(work_id, reply)]
+        reply = make(step, self.own.name, reason, retry_after_s)
+        return [self._reply(event.work_id, reply)]
 
     def _reply(self, work_id, reply):
         return effects.ReplyWork(work_id, replace(reply, load=self.make_load()))
@@ -117,13 +116,21 @@
         if record.state == outcomes.DONE:
             self.distribution.count("work_from_memory")
             return [self._reply(event.work_id, record.reply)]
+        if record.state == outcomes.SHED:
+            wall_s = self.distribution.get_wall_s(event.now_s)
+            received_s = event.now_s - (wall_s - event.received_s)
+            if not self.outcomes.is_refused(record, received_s, self.policy):
+                self.outcomes.forget(event.key)
+                return None
+            reply = make_not_run("barred", self.own.name, "called not run before")
+            return [self._reply(event.work_id, reply)]
+        if record.state == outcomes.NEVER:
+            reason = "the key was asked about before it came, and never runs here"
+            reply = make_unknown("barred", self.own.name, reason)
+            return [self._reply(event.work_id, reply)]
         if record.state == outcomes.BARRED:
-            reply = make_not_run(
-                "barred",
-                self.own.name,
-                "the key was asked about before it came, and never runs here",
-                moved_to=record.asker,
-            )
+            reason = "the key may run elsewhere"
+            reply = make_not_run("barred", self.own.name, reason, moved_to=record.asker)
             return [self._reply(event.work_id, reply)]
         record.waiters.append(event.work_id)
         deadline_s = event.now_s + event.timeout_s
@@ -135,7 +142,7 @@
         self.jobs[event.work_id] = job
         if event.fresh:
             return self._begin(job, now_s)
-        wall_s = self._get_wall_s(now_s)
+        wall_s = self.distribution.get_wall_s(now_s)
         membership = self.membership
         policy = self.policy
         started_s = self.distribution.started_wall_s
@@ -146,7 +153,13 @@
                 membership, event.key, event.service, now_s, wall_s, policy
             )
         vms = outcomes.list_inquiries(
-            membership, event.key, event.service, bool(job.doubt), now_s, policy
+            membership,
+            event.key,
+            event.service,
+            bool(job.doubt),
+            now_s,
+            wall_s,
+            policy,
         )
         if not vms and job.doubt:
             return self._leave_unproved(job, job.doubt)
@@ -189,10 +202,10 @@
         job = self.jobs.get(event.subject)
         finding = event.finding
         if finding.vms_revision:
-            self.membership.note_revision(finding.vm, finding.vms_revision)
+            self.membership.note_revision(finding.vm, finding.vms_revision, event.now_s)
         if job is None or job.state != CLEARING:
             return []
-        wall_s = self._get_wall_s(event.now_s)
+        wall_s = self.distribution.get_wall_s(event.now_s)
         job.findings.append(self.membership.date_end(finding, event.now_s, wall_s))
         if len(job.findings) < job.expected:
             return []
@@ -201,11 +214,13 @@
     def _conclude(self, job, now_s):
         key = job.event.key
         verdict, vm = outcomes.judge(
-            key, job.findings, self._get_wall_s(now_s), self.policy
+            key, job.findings, self.distribution.get_wall_s(now_s), self.policy
         )
         record = self.outcomes.records[key]
         if record.state == outcomes.BARRED:
             verdict, vm = outcomes.ELSEWHERE, record.asker
+        if record.state == outcomes.NEVER:
+            verdict = outcomes.NEVER
         if verdict == outcomes.UNPROVED:
             return self._leave_unproved(job, vm)
         if verdict == outcomes.CLEAR and job.doubt:
@@ -213,11 +228,15 @@
         if verdict == outcomes.CLEAR:
             return self._begin(job, now_s)
         del self.jobs[job.event.work_id]
-        reply = make_not_run(
-            "clear", self.own.name, "the key runs elsewhere", moved_to=vm
-        )
-        waiters = record.waiters
-        record.state, record.asker, record.waiters = outcomes.BARRED, vm, []
+        waiters, record.waiters = record.waiters, []
+        if verdict == outcomes.NEVER:
+            record.state, record.asker = outcomes.NEVER, ""
+            reason = "the key was asked about before it came"
+            reply = make_unknown("clear", self.own.name, reason)
+        else:
+            record.state, record.asker = outcomes.BARRED, vm
+            reason = "the key may run elsewhere"
+            reply = make_not_run("clear", self.own.name, reason, moved_to=vm)
         result = [self._reply(job.event.work_id, reply)]
         return result + self._reply_waiters(waiters, reply)
 
@@ -229,7 +248,7 @@
         else:
             record.state = outcomes.RUNNING
         if now_s >= job.deadline_s:
-            return self._end_not_run(job, "clear", "the deadline passed")
+            return self._end_not_run(job, "clear", "the deadline passed", now_s)
         return self._admit(job, now_s)
 
     def answer_inquiry(self, event):
@@ -253,12 +272,14 @@
         result = []
         if shed:
             self.distribution.count("work_shed")
-            result += self._end_not_run(self.jobs[shed], "queue", "shed for other work")
+            reason = "shed for other work"
+            result += self._end_not_run(self.jobs[shed], "queue", reason, now_s)
         if decision == "run":
             return result + self._run(job, now_s)
         if decision == "shed":
             self.distribution.count("work_shed")
-            return result + self._end_not_run(job, "queue", "the queue is full")
+            reason = "the queue is full"
+            return result + self._end_not_run(job, "queue", reason, now_s)
         job.state = QUEUED
         timer = effects.SetTimer(WORK_TIMER, event.work_id, job.deadline_s)
         return [*result, timer]
@@ -270,15 +291,16 @@
         timeout_s = max(0.001, job.deadline_s - now_s)
         return [effects.RunOnTarget(event.work_id, timeout_s, event.idempotent)]
 
-    def _end_not_run(self, job, step, reason, peer=""):
-        """End work that was never handed to the target."""
+    def _end_not_run(self, job, step, reason, now_s, peer=""):
+        """End work that is proved never to have been handed to a target."""
         event = job.event
         self.jobs.pop(event.work_id, None)
         retry_after_s = self.admission.get_retry_after_s()
         reply = make_not_run(step, peer or self.own.name, reason, retry_after_s)
         result = [self._reply(event.work_id, reply)]
-        if event.key and not event.idempotent:
-            result += self._reply_waiters(self.outcomes.forget(event.key), reply)
+        if event.key in self.outcomes.records and not event.idempotent:
+            waiters = self.outcomes.refuse(event.key, now_s)
+            result += self._reply_waiters(waiters, reply)
         return result
 
     def _start_next(self, now_s):
@@ -288,7 +310,7 @@
             result += self._run(self.jobs[work_id], now_s)
         for work_id in expired:
             job = self.jobs[work_id]
-            result += self._end_not_run(job, "queue", "the deadline passed")
+            result += self._end_not_run(job, "queue", "the deadline passed", now_s)
         return result
 
     def time_out(self, event):
@@ -305,7 +327,7 @@
         if job.state == CLEARING:
             return self._leave_unproved(job, self.own.name)
         self.admission.remove(event.subject)
-        return self._end_not_run(job, "queue", "the deadline passed")
+        return self._end_not_run(job, "queue", "the deadline passed", event.now_s)
 
     def abandon(self, event):
         """The ingress left: drop waiting work, cancel idempotent work that runs."""
@@ -317,7 +339,7 @@
             if record is not None and record.waiters:
                 return []
             self.admission.remove(event.work_id)
-            return self._end_not_run(job, "queue", "the ingress left")
+            return self._end_not_run(job, "queue", "the ingress left", event.now_s)
         if job.state == RUNNING and job.event.idempotent:
             return [effects.CancelTarget(event.work_id)]
         if job.state == WAITING:
@@ -335,7 +357,7 @@
         self.admission.release(event.now_s - job.started_s)
         if event.not_run:
             step, reason = "target", "the target refused the work"
-            result = self._end_not_run(job, step, reason)
+            result = self._end_not_run(job, step, reason, event.now_s)
         else:
             result = self._end(job, event.reply)
         return result + self._start_next(event.now_s)
@@ -350,16 +372,15 @@
             reason = "the target gave no whole answer"
             result = self._end(job, make_unknown(event.step, "target", reason))
         else:
-            result = self._end_not_run(
-                job, event.step, "the target is unreachable", peer="target"
-            )
+            reason = "the target is unreachable"
+            result = self._end_not_run(job, event.step, reason, event.now_s, "target")
         return result + self._start_next(event.now_s)
 
     def _end(self, job, reply):
         event = job.event
         del self.jobs[event.work_id]
         result = [self._reply(event.work_id, reply)]
-        if event.key and not event.idempotent:
+        if event.key in self.outcomes.records and not event.idempotent:
             kept = reply
             if reply.outcome == ANSWERED and len(reply.body) > outcomes.MAX_STORED_BODY:
                 reason = "it ran, and its answer was too large to keep"
--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -132,7 +132,7 @@
 class InquiryAnswer(Model):
     """What a node knows of an idempotency key; ``state`` is the key's state there."""
 
-    state: Literal["absent", "running", "done"]
+    state: Literal["absent", "barred", "never", "running", "done"]
     vm: str
     since_s: float
     vms_revision: int
@@ -151,6 +151,7 @@
     fresh: bool
     idempotent: bool
     timeout_s: float
+    received_s: float
     method: Method
     path: str
     config: tuple[int, str]
--- a/balsamdeal/net/forwarding.py
+++ b/balsamdeal/net/forwarding.py
@@ -171,6 +171,7 @@
                 message.fresh,
                 message.idempotent,
                 message.timeout_s,
+                message.received_s,
                 now_s,
             )
         )
@@ -188,6 +189,7 @@
             fresh=effect.fresh,
             idempotent=effect.idempotent,
             timeout_s=round(effect.timeout_s, 4),
+            received_s=effect.received_s,
             method=payload.method,
             path=payload.path,
             config=wire.pack_version(self._config),
--- a/balsamdeal/net/servers.py
+++ b/balsamdeal/net/servers.py
@@ -60,10 +60,12 @@
     """Return the request callback of the callers' server."""
 
     def refuse(request, reason):
+        # An earlier copy with the same key may have run.
+        outcome = "unknown" if "Idempotency-Key" in request.headers else "not-run"
         headers = HTTPHeaders(
-            {"Content-Type": "application/json", "Balsamdeal-Outcome": "not-run"}
+            {"Content-Type": "application/json", "Balsamdeal-Outcome": outcome}
         )
-        content = {"outcome": "not-run", "step": "receive", "reason": reason}
+        content = {"outcome": outcome, "step": "receive", "reason": reason}
         respond(request, 400, headers, json.dumps(content).encode())
 
     def ask(request):
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -420,6 +420,7 @@
                 effect.fresh,
                 effect.idempotent,
                 effect.timeout_s,
+                effect.received_s,
                 self.now_s,
             )
             self.hand(effect.address, peer_life, event)
--- /dev/null
+++ b/tests/core/test_crossings.py
@@ -0,0 +1,157 @@
+"""Faults and requests in any order, by hypothesis, with the promises as invariants."""
+
+import inspect
+
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from balsamdeal.core import events
+from tests.core.fakes import (
+    EPOCH_S,
+    make_key,
+    make_vm,
+    make_vms_document,
+    start_fabric,
+)
+
+NODES = 3
+STEPS = (
+    *["call"] * 6,
+    *["wait"] * 6,
+    *["kill_or_start"] * 3,
+    "renew",
+    "ask",
+    "pause_or_wake",
+    "separate_or_join",
+    "publish",
+    "change_list",
+)
+NUMBERS = strategies.integers(0, NODES - 1)
+KEYS = strategies.integers(0, 2)
+
+
+class Crossings(RuleBasedStateMachine):
+    """Drives three real reducers through crossings of faults."""
+
+    def __init__(self):
+        super().__init__()
+        self.fabric = start_fabric(NODES)
+        self.fabric.run(35)
+        self.addresses = list(self.fabric.vms)
+        self.revision = 1
+        self.calls = {}
+        self.questions = {}
+        self.keys = [self.make_key(number) for number in range(3)]
+        self.told_not_run = set()
+
+    def make_key(self, number):
+        wall_s = EPOCH_S + self.fabric.now_s
+        key = make_key(wall_s, 1000 + number)
+        return key if number % 2 else f"undated-{key}"
+
+    @rule(
+        name=strategies.sampled_from(STEPS),
+        number=NUMBERS,
+        key=KEYS,
+        duration_s=strategies.sampled_from([0.005, 0.03, 0.3, 2.5]),
+        leaving=strategies.booleans(),
+    )
+    def act(self, name, **arguments):
+        """Take one step; a single rule, so that no example goes without calls."""
+        function = getattr(self, name)
+        names = inspect.signature(function).parameters
+        function(**{item: arguments[item] for item in names})
+
+    def call(self, number, key):
+        """Send a key, unless its caller heard that it has not run."""
+        address = self.addresses[number]
+        key = self.keys[key]
+        if key in self.told_not_run or address not in self.fabric.nodes:
+            return
+        request_id = f"r{len(self.calls)}"
+        self.calls[request_id] = key
+        self.fabric.call(address, request_id, key)
+
+    def renew(self, key):
+        """Make a new key in place of an old one."""
+        self.keys[key] = self.make_key(len(self.calls) * 3 + key + 3)
+
+    def ask(self, number, key):
+        """Ask what became of a key."""
+        address = self.addresses[number]
+        if address in self.fabric.nodes:
+            request_id = f"q{len(self.questions)}"
+            self.questions[request_id] = self.keys[key]
+            event = events.OutcomeAsked(
+                request_id, "desk", self.keys[key], self.fabric.now_s
+            )
+            self.fabric.hand(address, self.fabric.lives[address], event)
+
+    def wait(self, duration_s):
+        """Let time pass."""
+        self.fabric.run(duration_s)
+
+    def kill_or_start(self, number):
+        """End a node, or start a new process in its place."""
+        address = self.addresses[number]
+        self.fabric.paused.discard(address)
+        if address in self.fabric.nodes:
+            self.fabric.kill(address)
+        else:
+            self.fabric.start(address)
+
+    def pause_or_wake(self, number):
+        """Pause a node, or wake it up late."""
+        self.fabric.paused ^= {self.addresses[number]}
+
+    def separate_or_join(self, number):
+        """Cut a node off from all others and the source, or end all cuts."""
+        if self.fabric.cut:
+            self.fabric.cut.clear()
+            return
+        address = self.addresses[number]
+        others = [item for item in self.addresses if item != address]
+        self.fabric.separate([address], [*others, "source"])
+
+    def publish(self):
+        """Publish a new configuration."""
+        self.revision += 1
+        self.fabric.publish_config(self.revision, path=f"/tickets/{self.revision}")
+
+    def change_list(self, number, leaving):
+        """Publish a VM list with one VM leaving, or gone."""
+        self.revision += 1
+        vms = [make_vm(n + 1, leaving=leaving and n == number) for n in range(NODES)]
+        if not leaving:
+            self.fabric.kill(self.addresses[number])
+            del vms[number]
+        self.fabric.publish(make_vms_document(self.revision, vms))
+
+    @invariant()
+    def promises_hold(self):
+        """At most once, truthful, whole, never back."""
+        runs = self.fabric.runs
+        assert all(count <= 1 for count in runs.values()), runs
+        assert self.fabric.versions_back == 0
+        for request_id, reply in self.fabric.answers.items():
+            if request_id in self.questions:
+                if b'"not-run"' in reply.body:
+                    self.told_not_run.add(self.questions[request_id])
+                continue
+            key = self.calls[request_id]
+            if reply.outcome == "not-run":
+                self.told_not_run.add(key)
+            if reply.outcome == "answered":
+                assert reply.body == f"ran {key}".encode()
+        assert not self.told_not_run & set(runs), "a key that was called not run ran"
+
+
+CrossingsTest = Crossings.TestCase
+CrossingsTest.settings = settings(
+    max_examples=150,
+    stateful_step_count=50,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
