--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -96,8 +96,18 @@
     sha256: str
 
 
+class Pointer(Model):
+    """The value of a channel's key: where the content of its newest version is.
+
+    It is small, so that a watch that ends without news moves few bytes.
+    """
+
+    format: Literal[1]
+    content: PartReference
+
+
 class Bundle(Model):
-    """The value of the configuration key: all parts of one version."""
+    """The content of the configuration: all parts of one version."""
 
     format: Literal[1]
     parts: dict[str, str | PartReference]
--- a/balsamdeal/net/source.py
+++ b/balsamdeal/net/source.py
@@ -1,7 +1,8 @@
 """The platform's key-value service: reads and watches by its published HTTP API.
 
 The API is that of Consul's key-value store: ``GET /v1/kv/KEY?raw`` with blocking
-queries by ``index`` and ``wait``, and the revision in ``X-Consul-Index``.
+queries by ``index`` and ``wait``, and the revision in ``X-Consul-Index``. A channel's
+key holds a small pointer to its content, which a watch that ends without news repeats.
 """
 
 import json
@@ -9,9 +10,9 @@
 from pydantic import ValidationError
 from tornado.httputil import HTTPHeaders
 
-from balsamdeal.documents import CONFIG, build_document, hash_content
+from balsamdeal.documents import CONFIG, DIGEST_LENGTH, build_document, hash_content
 from balsamdeal.errors import ExchangeError, SourceError
-from balsamdeal.models import Bundle, PartReference, VmListPart
+from balsamdeal.models import Bundle, PartReference, Pointer, VmListPart
 
 READ_TIMEOUT_S = 1.0
 REVISION_HEADER = "X-Consul-Index"
@@ -47,13 +48,32 @@
         revision = self._parse_revision(response)
         if wait_s and revision == after_revision:
             return revision, None
-        text = self._decode(response.body, channel)
+        pointer = self._parse(Pointer, response.body, channel)
+        text = await self._read_content(channel, pointer.content)
         if channel == CONFIG:
             parts = await self._read_bundle(text, known)
         else:
             parts = self._split_vms(text)
         return revision, build_document(revision, parts, known)
 
+    def _parse(self, model, body, name):
+        try:
+            return model.model_validate_json(body)
+        except ValidationError as error:
+            fault = error.errors()[0]
+            message = f"{name}: {fault['loc']}: {fault['msg']}"
+            raise SourceError(message, "decode", self._address) from error
+
+    async def _read_content(self, name, reference):
+        """Return the text that a reference names, or fail if it is another."""
+        response = await self._fetch(f"{reference.key}?raw", 0.0)
+        self._count("source_reads")
+        content = self._decode(response.body, name)
+        if hash_content(content) != reference.sha256[:DIGEST_LENGTH]:
+            # Reference and content were published at different moments.
+            raise SourceError(f"{name}: half published", "parts", self._address)
+        return content
+
     async def _fetch(self, path, wait_s):
         try:
             response = await self._pool.fetch(
@@ -85,12 +105,7 @@
 
     async def _read_bundle(self, text, known):
         """Return the parts of a bundle; large ones come from keys of their own."""
-        try:
-            bundle = Bundle.model_validate_json(text)
-        except ValidationError as error:
-            fault = error.errors()[0]
-            message = f"bundle: {fault['loc']}: {fault['msg']}"
-            raise SourceError(message, "decode", self._address) from error
+        bundle = self._parse(Bundle, text, "bundle")
         if len(bundle.parts) > MAX_PARTS:
             raise SourceError("too many parts", "decode", self._address)
         parts = {}
@@ -101,25 +116,14 @@
         return parts
 
     async def _read_part(self, name, reference, known):
-        digest = reference.sha256[:32]
+        digest = reference.sha256[:DIGEST_LENGTH]
         if known is not None and known.hashes.get(name) == digest:
             return known.parts[name]
-        response = await self._fetch(f"{reference.key}?raw", 0.0)
-        self._count("source_reads")
-        content = self._decode(response.body, name)
-        if hash_content(content) != digest:
-            # The part and the bundle were published at different moments.
-            raise SourceError(f"{name}: half published", "parts", self._address)
-        return content
+        return await self._read_content(name, reference)
 
     def _split_vms(self, text):
         """Return one part for each failure domain, alike on every node."""
-        try:
-            entries = VmListPart.model_validate_json(text).vms
-        except ValidationError as error:
-            fault = error.errors()[0]
-            message = f"VM list: {fault['loc']}: {fault['msg']}"
-            raise SourceError(message, "decode", self._address) from error
+        entries = self._parse(VmListPart, text, "VM list").vms
         domains = {}
         for entry in entries:
             domains.setdefault(entry.failure_domain, []).append(entry.model_dump())
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -365,6 +365,8 @@
                 document = None
                 if self.now_s < deadline_s:
                     return self.watchers.append(answer)
+            if document is not None:
+                self.reads.append((self.now_s, address))  # pointer, then content
             event = events.SourceAnswered(channel, revision, document, self.now_s)
             return self.after(
                 self.draw_latency(), lambda: self.hand_late(address, life, event)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,6 +4,7 @@
 Only processes started here are ever signalled.
 """
 
+import hashlib
 import json
 import os
 import random
@@ -152,9 +153,13 @@
         self.parts.update(changes)
         return self.publish_text(json.dumps({"format": 1, "parts": self.parts}))
 
-    def publish_text(self, text):
-        """Publish a raw value of the configuration key."""
-        return self.administrate(f"publish/{CONFIG_KEY}", text.encode())
+    def publish_text(self, text, key=CONFIG_KEY):
+        """Publish content, then the pointer to it; return the pointer's revision."""
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        content_key = f"{key}/{digest}"
+        self.administrate(f"publish/{content_key}", text.encode())
+        pointer = {"format": 1, "content": {"key": content_key, "sha256": digest}}
+        return self.administrate(f"publish/{key}", json.dumps(pointer).encode())
 
     def publish_vms(self):
         """Publish the VM list as the members stand."""
@@ -171,9 +176,7 @@
             for member in self.members
             if member.state != "gone"
         ]
-        return self.administrate(
-            f"publish/{VMS_KEY}", json.dumps({"vms": vms}).encode()
-        )
+        return self.publish_text(json.dumps({"vms": vms}), VMS_KEY)
 
     # Members
 
