--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,348 @@
+"""Rebuilds the tables of docs/CAPACITY.md from the measured data.
+
+Each figure for the two-year size is worked out from a straight line through measured
+points; fit and residual stand beside it. The page's prose is written by hand, its
+tables stand between markers ``<!-- table NAME -->`` and ``<!-- end -->``.
+"""
+
+import json
+import re
+import sys
+
+import numpy
+
+from tools.fleet import ROOT
+from tools.measure import DATA
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+NODES = 810
+DOMAINS = 7
+CALLS_PER_S = 240_000
+CHANGES_PER_DAY = 490
+LIST_CHANGES_PER_DAY = 295
+SECONDS_PER_DAY = 86_400
+WATCHES_PER_DOMAIN = 4  # two watchers for each of two channels
+
+BUDGET_CORE = 4.1  # percent of a core, for control
+BUDGET_MB = 128
+BUDGET_BYTES_S = 9000
+BUDGET_ADDED_MS = 0.31
+BUDGET_FORCE_S = 5.0
+
+
+def read_data(name):
+    """Return a data file's content."""
+    return json.loads((DATA / name).read_text())
+
+
+def fit(xs, ys):
+    """Return intercept, slope and largest residual of a straight line."""
+    slope, intercept = numpy.polyfit(xs, ys, 1)
+    residual = max(abs(y - intercept - slope * x) for x, y in zip(xs, ys))
+    return float(intercept), float(slope), float(residual)
+
+
+def make_table(header, rows):
+    """Return a Markdown table."""
+    lines = ["| " + " | ".join(header) + " |", "| " + " | ".join("---" for _ in header)]
+    lines[1] += " |"
+    lines += ["| " + " | ".join(map(str, row)) + " |" for row in rows]
+    return "\n".join(lines)
+
+
+def judge(value, budget, unit):
+    """Return the verdict on a figure against its budget."""
+    if value <= budget:
+        return "holds"
+    return f"short by {value - budget:.3g} {unit}"
+
+
+def describe_source(name, content):
+    """Return where a data file comes from."""
+    run = content["run"]
+    return (
+        f"`data/{name}`: `{run['command']}`, {run['date']}, revision "
+        f"{run['revision']}, {run['machine']}, Python {run['python']}"
+    )
+
+
+def select(results, variant):
+    """Return the rows of one variant by number of nodes."""
+    rows = [row for row in results if row["variant"] == variant]
+    return sorted(rows, key=lambda row: row["nodes"])
+
+
+def table_variants(distribution, costs, requests):
+    """Return what was measured, variant by variant."""
+    rows = []
+    for variant in ("direct", "tree", "gossip"):
+        for row in select(distribution["results"], variant):
+            rest, changes, herd = row["rest"], row["changes"], row["herd"]
+            rows.append(
+                (
+                    variant,
+                    row["nodes"],
+                    f"{changes['median_s'] * 1000:.0f}",
+                    f"{changes['p99_s'] * 1000:.0f}",
+                    f"{rest['control_bytes_per_node_s']:.0f}",
+                    f"{rest['source_reads_per_s']:.1f}",
+                    f"{rest['core_share_per_node'] * 100:.2f}",
+                    f"{row['memory_bytes'] / 1e6:.0f}",
+                    f"{changes['bytes_per_change_and_node']:.0f}",
+                    herd["busiest_second_reads"],
+                    f"{herd['ready_s']:.1f}",
+                )
+            )
+    header = (
+        "variant",
+        "nodes",
+        "median ms",
+        "worst ms",
+        "rest B/s a node",
+        "source reads/s",
+        "core %",
+        "MB",
+        "B a change and node",
+        "herd reads in a second",
+        "herd ready s",
+    )
+    return make_table(header, rows)
+
+
+def list_watch_shares(rows):
+    """Return watches per node for each measured row."""
+    return [row["domains"] * WATCHES_PER_DOMAIN / row["nodes"] for row in rows]
+
+
+def table_roles(distribution, costs, requests):
+    """Return the control cost of each role at the two-year size."""
+    rows = select(distribution["results"], "tree")
+    shares = list_watch_shares(rows)
+    base, per_watch, residual = fit(
+        shares, [row["rest"]["control_bytes_per_node_s"] for row in rows]
+    )
+    core, core_watch, core_residual = fit(
+        shares, [row["rest"]["core_share_per_node"] * 100 for row in rows]
+    )
+    nodes = [row["nodes"] for row in rows]
+    memory, memory_slope, memory_residual = fit(
+        nodes, [row["memory_bytes"] / 1e6 for row in rows]
+    )
+    size_mb = memory + memory_slope * NODES
+    largest = costs["lists"][-1]
+    churn = LIST_CHANGES_PER_DAY * largest["delta_bytes"] / SECONDS_PER_DAY
+    whole = LIST_CHANGES_PER_DAY * largest["document_bytes"] / SECONDS_PER_DAY
+    change = rows[-1]["changes"]["bytes_per_change_and_node"]
+    edits = CHANGES_PER_DAY * change / SECONDS_PER_DAY
+    table = []
+    for role, watches, list_bytes in (
+        ("ordinary node", 0, churn),
+        ("relay (8 children)", 0, churn * 9),
+        ("watcher of one channel", 1, whole + churn * 9),
+        ("watcher of both", 2, whole + churn * 9),
+    ):
+        total = base + watches * per_watch + list_bytes + edits
+        core_total = core + watches * core_watch
+        table.append(
+            (
+                role,
+                f"{total:.0f}",
+                judge(total, BUDGET_BYTES_S, "B/s"),
+                f"{core_total:.2f}",
+                judge(core_total, BUDGET_CORE, "%"),
+                f"{size_mb:.0f}",
+                judge(size_mb, BUDGET_MB, "MB"),
+            )
+        )
+    notes = (
+        f"Bytes at rest: {base:.0f} + {per_watch:.0f} a watch, largest residual "
+        f"{residual:.0f} B/s. Core: {core:.2f} % + {core_watch:.2f} % a watch, residual "
+        f"{core_residual:.2f} %. Memory: {memory:.1f} MB + {memory_slope:.3f} MB a "
+        f"node, residual {memory_residual:.1f} MB. VM list: {largest['delta_bytes']} "
+        f"B a change of one domain at {NODES} entries, {largest['document_bytes']} B "
+        f"whole. Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
+    )
+    header = ("role", "control B/s", "", "core %", "", "MB", "")
+    return make_table(header, table) + "\n\n" + notes
+
+
+def table_spread(distribution, costs, requests):
+    """Return convergence and source load at the two-year size."""
+    rows = select(distribution["results"], "tree")
+    nodes = [row["nodes"] for row in rows]
+    base, slope, residual = fit(nodes, [row["changes"]["p99_s"] for row in rows])
+    force_s = base + slope * NODES
+    reads = DOMAINS * WATCHES_PER_DOMAIN / 2.0
+    busiest = max(row["herd"]["busiest_second_reads"] for row in rows)
+    table = [
+        (
+            "change in force everywhere",
+            f"{force_s:.2f} s",
+            f"{base * 1000:.0f} ms + {slope * 1000:.2f} ms a node, residual "
+            f"{residual * 1000:.0f} ms",
+            judge(force_s, BUDGET_FORCE_S, "s"),
+        ),
+        (
+            "source reads at rest",
+            f"{reads:.0f} a second",
+            f"{rows[-1]['rest']['source_reads_per_s']:.1f} at {nodes[-1]} nodes in 4 "
+            "domains, whatever the nodes",
+            judge(reads, 200, "a second"),
+        ),
+        (
+            "source reads, all nodes start at once",
+            "160 a second, by construction",
+            f"at most {busiest} in a second at up to {nodes[-1]} nodes",
+            "holds up to the size measured",
+        ),
+    ]
+    header = ("figure", f"at {NODES} nodes", "measured", "verdict")
+    return make_table(header, table)
+
+
+def table_content(distribution, costs, requests):
+    """Return costs against the sizes of content and VM list."""
+    rows = []
+    for row in costs["configs"]:
+        rows.append(
+            (
+                f"{row['routes']} routes of {row['workspaces']} workspaces",
+                f"{row['document_bytes']}",
+                f"{row['delta_bytes']}",
+                f"{row['change_ms']:.1f}",
+                f"{row['render_ms']:.0f}",
+                f"{row['memory_bytes'] / 1e6:.2f}",
+            )
+        )
+    for row in costs["lists"]:
+        rows.append(
+            (
+                f"{row['vms']} VMs",
+                f"{row['document_bytes']}",
+                f"{row['delta_bytes']}",
+                f"{row['apply_ms']:.1f}",
+                f"{row['apply_ms']:.1f}",
+                f"{row['memory_bytes'] / 1e6:.2f}",
+            )
+        )
+    header = ("content", "bytes", "delta bytes", "change ms", "whole ms", "MB")
+    return make_table(header, rows)
+
+
+def table_requests(distribution, costs, requests):
+    """Return what a node adds to calls."""
+    rows = []
+    for row in requests["added"]:
+        for name, label in (("own_target", "own target"), ("other_vm", "other VM")):
+            item = row[name]
+            rows.append(
+                (
+                    row["calls_per_s"],
+                    label,
+                    f"{item['added_p50_ms']:.2f}",
+                    f"{item['added_p99_ms']:.2f}",
+                    judge(item["added_p99_ms"], BUDGET_ADDED_MS, "ms"),
+                    f"{item['processor_ms_per_call']:.2f}",
+                )
+            )
+    header = (
+        "calls/s a node",
+        "target",
+        "added median ms",
+        "added p99 ms",
+        "against 0.31 ms",
+        "processor ms a call",
+    )
+    last = requests["added"][-1]
+    per_call = last["other_vm"]["processor_ms_per_call"]
+    calls = CALLS_PER_S / NODES
+    note = (
+        f"At {CALLS_PER_S} calls a second over {NODES} nodes each is the ingress of "
+        f"{calls:.0f} a second: {calls * per_call / 1000:.2f} of a core as ingress "
+        "alone, and the target's nodes take a like part."
+    )
+    return make_table(header, rows) + "\n\n" + note
+
+
+def table_overload(distribution, costs, requests):
+    """Return goodput and latencies under overload."""
+    rows = [
+        (
+            row["multiple"],
+            f"{row['offered_per_s']:.0f}",
+            f"{row['goodput_per_s']:.0f}",
+            f"{row['lookup']['p50_ms']:.0f}",
+            f"{row['lookup']['p99_ms']:.0f}",
+            f"{row['lookup']['count']}",
+            f"{row['tally']['p99_ms']:.0f}",
+            f"{row['tally']['count']}",
+        )
+        for row in requests["overload"]
+    ]
+    third = requests["failing_third"]
+    note = (
+        f"A failing third of the targets: {third['extra']} extra attempts on "
+        f"{third['calls']} calls, {third['share'] * 100:.1f} %; {third['failed']} "
+        "calls got no good answer."
+    )
+    header = (
+        "times capacity",
+        "offered/s",
+        "answered/s",
+        "lookup p50 ms",
+        "lookup p99 ms",
+        "lookups answered",
+        "tally p99 ms",
+        "tally answered",
+    )
+    return make_table(header, rows) + "\n\n" + note
+
+
+def table_sources(distribution, costs, requests):
+    """Return the provenance of the data."""
+    files = (
+        ("distribution.json", distribution),
+        ("costs.json", costs),
+        ("requests.json", requests),
+    )
+    return "\n".join(f"- {describe_source(name, item)}" for name, item in files)
+
+
+TABLES = {
+    "variants": table_variants,
+    "roles": table_roles,
+    "spread": table_spread,
+    "content": table_content,
+    "requests": table_requests,
+    "overload": table_overload,
+    "sources": table_sources,
+}
+
+
+def rebuild(text, data):
+    """Return a page with its tables made anew.
+
+    :param text: the page.
+    :param data: the three data files' contents.
+    """
+
+    def replace(match):
+        name = match.group(1)
+        return f"<!-- table {name} -->\n\n{TABLES[name](*data)}\n\n<!-- end -->"
+
+    return re.sub(r"<!-- table (\w+) -->.*?<!-- end -->", replace, text, flags=re.S)
+
+
+def main(argv=None):
+    """Rebuild the page and the design page's tables."""
+    data = [
+        read_data(name) for name in ("distribution.json", "costs.json", "requests.json")
+    ]
+    for page in (PAGE, ROOT / "docs" / "design" / "distribution.md"):
+        page.write_text(rebuild(page.read_text(), data))
+        print(f"rebuilt {page.relative_to(ROOT)}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
