Split distribution and ingress by matter; bound remembered answers by bytes

Change: announcements, sources and questions are modules of their own; answers are kept up to 16 MB in all. A VM's entry in the list is written in one place, not three. Conclusion: no decision changed but the bound; its test is in test_requests.py.

--- a/balsamdeal/core/distribution.py
+++ b/balsamdeal/core/distribution.py
@@ -11,7 +11,9 @@
 from random import Random
 
 from balsamdeal.core import effects, events
-from balsamdeal.core.membership import REFUSED, WATCHERS_PER_DOMAIN
+from balsamdeal.core.announcements import Announcements
+from balsamdeal.core.membership import REFUSED
+from balsamdeal.core.sources import Sources
 from balsamdeal.documents import (
     CHANNELS,
     CONFIG,
@@ -28,42 +30,16 @@
 GOSSIP = "gossip"
 VARIANTS = (DIRECT, TREE, GOSSIP)
 
-WATCH_WAIT_S = 2.0
 COMPARE_INTERVAL_S = 2.5
 START_COMPARE_INTERVAL_S = 0.25
 START_PEERS = 3
 START_BOUND_S = 2.0
-STARTS_PER_S = 40.0
 PULL_TIMEOUT_S = 2.0
-SOURCE_AGE_BOUND_S = 10.0
-PROBE_INTERVAL_S = 30.0
-SOURCE_BACKOFF_BASE_S = 0.5
-SOURCE_BACKOFF_MAX_S = 3.0
-STALE_PAUSE_S = 1.0
-EMPTY_PAUSE_S = 1.0
-TREE_ARITY = 8
-GOSSIP_FANOUT = 4
-ANNOUNCE_TRIES = 4
-ANNOUNCE_RETRY_S = 0.3
-START_RETRY_SPREADS = 4.0
 OUTSIDE_SHARE = 0.25
 HISTORY_LENGTH = 8
 REJECTED_LENGTH = 8
 
 
-@dataclass(slots=True)
-class SourceState:
-    """How one channel stands with the source; times in seconds."""
-
-    pending: bool = False
-    read_s: float = 0.0
-    next_read_s: float = 0.0
-    failures: int = 0
-    seen_revision: int = 0
-    state: str = "unread"
-    reason: str = ""
-
-
 @dataclass(slots=True)
 class ChannelState:
     """What this node holds of one channel."""
@@ -75,7 +51,7 @@
     offers: dict = field(default_factory=dict)
     pull_address: str = ""
     pull_deadline_s: float = 0.0
-    source: SourceState = field(default_factory=SourceState)
+    source: object = None
 
     @property
     def version(self):
@@ -95,31 +71,27 @@
     def __init__(self, membership, variant, fleet_size, seed):
         self.membership = membership
         self.variant = variant
-        self.fleet_size = fleet_size
         self.random = Random(seed)
-        self.channels = {channel: ChannelState() for channel in CHANNELS}
+        self.sources = Sources(self.random, fleet_size)
+        self.channels = {
+            channel: ChannelState(source=self.sources.states[channel])
+            for channel in CHANNELS
+        }
         self.snapshot = None
         self.started_s = 0.0
         self.started_wall_s = 0.0
         self.starting = True
         self.draining = False
-        self.source_heard_s = None
         self.confirmed_s = 0.0
         self.start_answers = set()
         self.counters = {}
         self._next_compare_s = 0.0
-        self._unheard = {}
+        self.announcements = Announcements(membership, self.random, variant == TREE)
 
     def count(self, name, amount=1):
         """Add to a counter."""
         self.counters[name] = self.counters.get(name, 0) + amount
 
-    def get_source_age_s(self, now_s):
-        """Return the time since anybody known heard from the source, or None."""
-        if self.source_heard_s is None:
-            return None
-        return max(0.0, now_s - self.source_heard_s)
-
     def get_wall_s(self, now_s):
         """Return a moment of the loop's clock in seconds since the epoch."""
         return self.started_wall_s + now_s - self.started_s
@@ -127,7 +99,7 @@
     def make_view(self, now_s):
         """Return what this node says of itself."""
         own = self.membership.own
-        age_s = self.get_source_age_s(now_s)
+        age_s = self.sources.get_age_s(now_s)
         return events.View(
             own.name,
             own.failure_domain,
@@ -145,9 +117,7 @@
         """Begin: ask several seeds now, and the source at a random moment."""
         self.started_s = event.now_s
         self.started_wall_s = event.wall_s
-        spread_s = self.fleet_size / STARTS_PER_S
-        for state in self.channels.values():
-            state.source.next_read_s = event.now_s + self.random.random() * spread_s
+        self.sources.spread_start(event.now_s)
         return self._ask_seeds(event.now_s)
 
     def _ask_seeds(self, now_s):
@@ -195,7 +165,8 @@
                 result += self._fail_pull(channel, state.pull_address, now_s)
         if now_s >= self._next_compare_s:
             result += self._compare(now_s)
-        result += self._repeat_announcements(now_s)
+        due = self.announcements.list_due(now_s)
+        result += self._send_announcements(due, now_s)
         result += self._finish_start(now_s)
         self.membership.forget_departed(now_s)
         view = self.make_view(now_s)
@@ -249,84 +220,31 @@
 
     def _read_source_if_due(self, channel, now_s):
         state = self.channels[channel]
-        source = state.source
-        if source.pending or now_s < source.next_read_s:
+        if self.starting and state.document is not None:
             return []
-        if self._is_reader(channel, now_s):
-            if self.starting and state.document is not None:
-                return []
-            wait_s = 0.0 if state.document is None else WATCH_WAIT_S
-        elif self._needs_probe(source, now_s):
-            wait_s = 0.0
-        else:
+        is_reader = self._is_reader(channel, now_s)
+        effect = self.sources.begin_read(channel, state.version, is_reader, now_s)
+        if effect is None:
             return []
-        source.pending = True
-        source.read_s = now_s
         self.count("source_reads")
-        after = max(state.version.revision, source.seen_revision)
-        return [effects.ReadSource(channel, after if wait_s else 0, wait_s)]
-
-    def _needs_probe(self, source, now_s):
-        """Return whether this node asks the source as nobody else seems to.
-
-        The moment is drawn at random, so that few of many nodes ask, and the
-        first answer spreads and holds back the rest.
-        """
-        age_s = self.get_source_age_s(now_s)
-        if age_s is not None and age_s < SOURCE_AGE_BOUND_S:
-            return False
-        if now_s - source.next_read_s > 1.0:
-            source.next_read_s = now_s + self.random.random() * PROBE_INTERVAL_S
-            return False
-        return True
+        return [effect]
 
     def take_source_answer(self, event):
         """Apply what the source published, unless it is older than what is held."""
-        state = self.channels[event.channel]
-        source = state.source
-        source.pending = False
-        source.failures = 0
-        source.next_read_s = event.now_s
-        if event.document is None and event.now_s - source.read_s < EMPTY_PAUSE_S:
-            # A watch that ends early without news must not become a busy loop.
-            source.next_read_s = event.now_s + EMPTY_PAUSE_S
-        if event.revision < max(state.version.revision, source.seen_revision):
-            # A stale replica or a restored backup: never follow it back.
-            source.next_read_s = event.now_s + STALE_PAUSE_S * self.random.uniform(1, 2)
+        version = self.channels[event.channel].version
+        current, result = self.sources.take_answer(event, version)
+        if not current:
             self.count("source_stale_answers")
-            reason = f"revision {event.revision} is older than {state.version.revision}"
-            return self._set_source_state(source, event.channel, "stale", reason)
-        source.seen_revision = event.revision
-        self.source_heard_s = event.now_s
+            return result
         self.confirmed_s = event.now_s
-        result = self._set_source_state(source, event.channel, "current", "")
         if event.document is not None:
             result += self._offer(event.channel, event.document, event.now_s)
         return result
 
     def take_source_failure(self, event):
         """Try again later, with full jitter and a bounded delay."""
-        source = self.channels[event.channel].source
-        source.pending = False
-        source.failures += 1
-        bound_s = min(
-            SOURCE_BACKOFF_MAX_S, SOURCE_BACKOFF_BASE_S * 2 ** min(source.failures, 8)
-        )
-        if self.starting:
-            spread_s = START_RETRY_SPREADS * self.fleet_size / STARTS_PER_S
-            bound_s = max(bound_s, spread_s)
-        source.next_read_s = event.now_s + self.random.random() * bound_s
         self.count("source_failures")
-        reason = f"step={event.step}: {event.reason}"
-        return self._set_source_state(source, event.channel, "failing", reason)
-
-    def _set_source_state(self, source, channel, state, reason):
-        source.reason = reason
-        if source.state == state:
-            return []
-        source.state = state
-        fields = {"channel": channel, "state": state, "reason": reason}
-        return [effects.ReportChange("source", fields)]
+        return self.sources.take_failure(event, self.starting)
 
     # Peers
 
@@ -337,8 +255,7 @@
         membership.note_draining(view.vm, view.draining, now_s)
         membership.note_revision(view.vm, view.versions[VMS].revision, now_s)
         if view.source_age_s is not None:
-            heard_s = now_s - view.source_age_s
-            self.source_heard_s = max(self.source_heard_s or heard_s, heard_s)
+            self.sources.note_heard(now_s - view.source_age_s)
         result = []
         for channel in CHANNELS:
             version = view.versions[channel]
@@ -349,7 +266,7 @@
         """Learn from a peer's answer to our comparison."""
         if self.starting:
             self.start_answers.add(event.view.address)
-        self._unheard.pop(event.view.address, None)
+        self.announcements.note_answer(event.view.address)
         result = self.take_view(event.view, event.now_s)
         if all(
             event.view.versions[channel] <= state.version
@@ -394,13 +311,8 @@
             return self._finish_start(event.now_s)
         if event.purpose != effects.ANNOUNCE:
             return []
-        tries, _ = self._unheard.get(event.address, (0, None))
-        if tries:
-            delay_s = ANNOUNCE_RETRY_S * self.random.uniform(0.5, 1.5)
-            self._unheard[event.address] = (tries, event.now_s + delay_s)
-        if self.variant != TREE or tries != ANNOUNCE_TRIES - 1:
-            return []
-        return self._announce_below(event.address, event.now_s)
+        below = self.announcements.note_failure(event.address, event.now_s)
+        return self._send_announcements(below, event.now_s)
 
     def _fail_pull(self, channel, address, now_s):
         state = self.channels[channel]
@@ -473,7 +385,7 @@
             "digest": version.digest,
         }
         result = [effects.ReportChange("applied", fields)]
-        return result + self._announce(channel, now_s)
+        return result + self._announce(now_s)
 
     def _apply(self, channel, document, now_s):
         if channel == CONFIG:
@@ -497,68 +409,16 @@
         }
         return [effects.ReportChange("rejected", fields)]
 
-    def _announce(self, channel, now_s):
+    def _announce(self, now_s):
         if self.variant == DIRECT or self.starting:
             return []
-        outside = self.membership.list_peers(now_s, False)
-        inside = self.membership.list_peers(now_s, True)
-        if self.variant == TREE:
-            addresses = self._list_children(self.membership.own.peer_address)
-        else:
-            count = min(GOSSIP_FANOUT - 1, len(inside))
-            addresses = self.random.sample(inside, count)
-        if outside:
-            addresses = [*addresses, self.random.choice(outside)]
-        self._unheard = {address: (ANNOUNCE_TRIES - 1, None) for address in addresses}
-        self.count("announcements", len(addresses))
-        return self._send_announcements(addresses, now_s)
+        return self._send_announcements(self.announcements.begin(now_s), now_s)
 
     def _send_announcements(self, addresses, now_s):
+        if not addresses:
+            return []
+        self.count("announcements", len(addresses))
         view = self.make_view(now_s)
         return [
             effects.SendView(address, view, effects.ANNOUNCE) for address in addresses
         ]
-
-    def _repeat_announcements(self, now_s):
-        """Announce again to peers that did not answer; a message may get lost."""
-        due = [
-            address
-            for address, (_, due_s) in self._unheard.items()
-            if due_s is not None and now_s >= due_s
-        ]
-        for address in due:
-            tries, _ = self._unheard[address]
-            self._unheard[address] = (tries - 1, None)
-        if not due:
-            return []
-        self.count("announcements", len(due))
-        return self._send_announcements(due, now_s)
-
-    def _list_children(self, address):
-        """Return the addresses below a node in the domain's tree.
-
-        The watchers are its roots and share the nodes below them; the tree counts
-        suspected nodes in, so that views agree on it.
-        """
-        ranking = self.membership.rank_domain(CONFIG)
-        addresses = [vm.peer_address for vm in ranking]
-        if address not in addresses:
-            return []
-        roots, below = addresses[:WATCHERS_PER_DOMAIN], addresses[WATCHERS_PER_DOMAIN:]
-        if address in roots:
-            # Whichever root hears of a version first brings it to the whole domain.
-            others = [root for root in roots if root != address]
-            return others + below[:TREE_ARITY]
-        first = TREE_ARITY * (below.index(address) + 1)
-        return below[first : first + TREE_ARITY]
-
-    def _announce_below(self, address, now_s):
-        own = self.membership.own.peer_address
-        below = [
-            child
-            for child in self._list_children(address)
-            if child != own and child not in self._unheard
-        ]
-        for child in below:
-            self._unheard[child] = (ANNOUNCE_TRIES - 1, None)
-        return self._send_announcements(below, now_s)
--- a/balsamdeal/core/ingress.py
+++ b/balsamdeal/core/ingress.py
@@ -4,10 +4,9 @@
 a budget that is a share of the service's traffic.
 """
 
-import json
 from dataclasses import dataclass, field, replace
 
-from balsamdeal.core import effects, outcomes
+from balsamdeal.core import effects
 from balsamdeal.core.membership import REFUSED, rank
 from balsamdeal.core.replies import (
     ANSWERED,
@@ -18,18 +17,15 @@
     make_unknown,
 )
 from balsamdeal.core.retries import RetryBudget
-from balsamdeal.documents import VMS
 from balsamdeal.snapshots import IDEMPOTENT_METHODS, match_route
 
 DEADLINE_TIMER = "deadline"
 HEDGE_TIMER = "hedge"
 RETRY_TIMER = "retry"
-QUESTION_TIMER = "question"
 RETRY_BASE_S = 0.005
 MAX_ATTEMPTS = 4
 MAX_MOVES = 3
 PARK_BOUND_S = 0.5
-QUESTION_BOUND_S = 2.0
 RETRIED_STATUSES = frozenset({500, 502, 503, 504})
 UNREACHABLE_STEPS = frozenset({"connect", REFUSED})
 
@@ -63,31 +59,19 @@
         return bool(self.event.key) and not self.idempotent
 
 
-@dataclass(slots=True)
-class Question:
-    """A caller's question about a key."""
-
-    event: object
-    expected: int
-    findings: list = field(default_factory=list)
-
-
 class Ingress:
-    """Requests and questions of callers; changed in place.
+    """Requests of callers that have no answer yet; changed in place.
 
     :param distribution: the ``Distribution``, for the snapshot in force.
     :param routing: the ``Routing`` that chooses targets.
-    :param policy: the ``outcomes.KeyPolicy``.
     """
 
-    def __init__(self, distribution, routing, policy):
-        self.policy = policy
+    def __init__(self, distribution, routing):
         self.distribution = distribution
         self.membership = distribution.membership
         self.routing = routing
         self.requests = {}
         self.attempts = {}
-        self.questions = {}
         self.budgets = {}
         self.parked = []
         self.parked_until_s = 0.0
@@ -318,9 +302,7 @@
         return [effects.SetTimer(RETRY_TIMER, request.event.request_id, at_s)]
 
     def fire_timer(self, event):
-        """A deadline, hedge, retry or question timer fired."""
-        if event.kind == QUESTION_TIMER:
-            return self._end_question(event.subject, event.now_s)
+        """A deadline, hedge or retry timer fired."""
         request = self.requests.get(event.subject)
         if request is None:
             return []
@@ -379,67 +361,6 @@
             result.append(effects.CancelAttempt(attempt_id))
         return result
 
-    # Questions
-
-    def ask(self, event):
-        """Ask all VMs of a service what became of a key, and bar it there."""
-        vms = list(self.membership.list_service(event.service))
-        if not vms:
-            reply = make_unknown("ask", event.service, "no VM of this service is known")
-            return [effects.AnswerCaller(event.request_id, reply, "", "", "", 0)]
-        self.questions[event.request_id] = Question(event, len(vms))
-        result = [
-            effects.SendInquiry(
-                event.request_id, vm.name, vm.peer_address, event.key, ""
-            )
-            for vm in vms
-        ]
-        at_s = event.now_s + QUESTION_BOUND_S
-        return [*result, effects.SetTimer(QUESTION_TIMER, event.request_id, at_s)]
-
-    def take_finding(self, event):
-        """Collect what a VM knows of a key that a caller asked about."""
-        question = self.questions.get(event.subject)
-        if question is None:
-            return []
-        question.findings.append(event.finding)
-        if len(question.findings) < question.expected:
-            return []
-        return self._end_question(event.subject, event.now_s)
-
-    def _end_question(self, subject, now_s):
-        question = self.questions.pop(subject, None)
-        if question is None:
-            return []
-        state, vm = self._judge_question(question, now_s)
-        body = json.dumps({"state": state, "vm": vm}).encode()
-        headers = (("Content-Type", "application/json"),)
-        reply = Reply(ANSWERED, 200, headers, body)
-        return [effects.AnswerCaller(subject, reply, "", "", "", 0)]
-
-    def _judge_question(self, question, now_s):
-        event = question.event
-        distribution = self.distribution
-        for finding in question.findings:
-            if finding.state in (outcomes.RUNNING, outcomes.DONE):
-                return finding.state, finding.vm
-        departed = [
-            name
-            for name, (item, _) in self.membership.departed.items()
-            if item.service == event.service
-        ]
-        missing = len(question.findings) < question.expected
-        held = distribution.channels[VMS].version.revision
-        # A newer list may hold a VM that was not asked.
-        newer = any(item.vms_revision > held for item in question.findings)
-        wall_s = distribution.get_wall_s(now_s)
-        unrun = outcomes.is_proved_unrun(
-            event.key, question.findings, wall_s, self.policy
-        )
-        if departed or missing or newer or not unrun:
-            return UNKNOWN, "".join(departed[:1])
-        return NOT_RUN, ""
-
     def is_idle(self):
         """Return whether every request has its answer."""
-        return not (self.requests or self.questions or self.parked)
+        return not (self.requests or self.parked)
--- a/balsamdeal/core/node.py
+++ b/balsamdeal/core/node.py
@@ -12,6 +12,7 @@
 from balsamdeal.core.distribution import Distribution
 from balsamdeal.core.ingress import Ingress
 from balsamdeal.core.membership import Membership
+from balsamdeal.core.questions import QUESTION_TIMER, Questions
 from balsamdeal.core.routing import Routing
 from balsamdeal.core.work import Work
 from balsamdeal.documents import CONFIG
@@ -35,7 +36,8 @@
         self.membership = Membership(own, seeds)
         self.distribution = Distribution(self.membership, variant, fleet_size, seed)
         self.routing = Routing(self.membership, Random(seed + 1))
-        self.ingress = Ingress(self.distribution, self.routing, policy)
+        self.ingress = Ingress(self.distribution, self.routing)
+        self.questions = Questions(self.distribution, policy)
         self.work = Work(self.distribution, own, policy)
         self._last_event_s = None
         self._resumed_s = None
@@ -55,7 +57,7 @@
             events.CallerLeft: self.ingress.leave,
             events.AttemptAnswered: self.ingress.take_reply,
             events.AttemptFailed: self.ingress.take_failure,
-            events.OutcomeAsked: self.ingress.ask,
+            events.OutcomeAsked: self.questions.ask,
             events.WorkReceived: self.work.receive,
             events.WorkAbandoned: self.work.abandon,
             events.TargetAnswered: self.work.take_target_answer,
@@ -121,6 +123,8 @@
     def _fire_timer(self, event):
         if event.kind == work.WORK_TIMER:
             return self.work.time_out(event)
+        if event.kind == QUESTION_TIMER:
+            return self.questions.end(event.subject, event.now_s)
         return self.ingress.fire_timer(event)
 
     def _drain(self, event):
@@ -151,8 +155,9 @@
     def _take_finding(self, event):
         if event.subject in self.work.jobs:
             return self.work.take_finding(event)
-        return self.ingress.take_finding(event)
+        return self.questions.take_finding(event)
 
     def is_idle(self):
         """Return whether nothing is in flight, so that the process may end."""
-        return self.ingress.is_idle() and self.work.is_idle()
+        parts = (self.ingress, self.questions, self.work)
+        return all(part.is_idle() for part in parts)
--- a/balsamdeal/core/outcomes.py
+++ b/balsamdeal/core/outcomes.py
@@ -11,13 +11,15 @@
 """
 
 import uuid
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from balsamdeal.core.membership import compute_score, rank
+from balsamdeal.core.replies import make_unknown
 
 MEMORY_S = 600.0
 MAX_RECORDS = 20_000
 MAX_STORED_BODY = 65_536  # bytes
+MAX_STORED_BYTES = 16_000_000
 
 ABSENT = "absent"
 CLEARING = "clearing"
@@ -80,6 +82,7 @@
     def __init__(self, own_name):
         self.own_name = own_name
         self.records = {}
+        self.stored_bytes = 0
 
     def find(self, key, now_s):
         """Return the record of a key, or None."""
@@ -95,7 +98,7 @@
             if record.state not in (CLEARING, RUNNING):
                 expired.append(key)
         for key in expired:
-            del self.records[key]
+            self._drop(key)
 
     def has_room(self, fresh):
         """Return whether a key can be noted.
@@ -146,11 +149,25 @@
         state = BARRED if asker else NEVER
         self.records[key] = Record(state, now_s, asker=asker)
 
+    def _drop(self, key):
+        record = self.records.pop(key, None)
+        if record is not None and record.reply is not None:
+            self.stored_bytes -= len(record.reply.body)
+        return record
+
     def finish(self, key, reply):
-        """Keep the reply of a key; return the work that waits for it."""
+        """Keep the reply of a key; return the work that waits for it.
+
+        Where there is no room for the reply, a resend hears that the key ran.
+        """
         record = self.records[key]
         record.state = DONE
+        size = len(reply.body)
+        if size > MAX_STORED_BODY or self.stored_bytes + size > MAX_STORED_BYTES:
+            reason = "it ran, and there was no room to keep its answer"
+            reply = replace(make_unknown("memory", self.own_name, reason), status=409)
         record.reply = reply
+        self.stored_bytes += len(reply.body)
         waiters, record.waiters = record.waiters, []
         return waiters
 
@@ -161,7 +178,7 @@
 
         :returns: the work that waits for the key.
         """
-        record = self.records.pop(key)
+        record = self._drop(key)
         self.records[key] = Record(SHED, now_s)
         return record.waiters
 
@@ -177,7 +194,7 @@
 
     def forget(self, key):
         """Drop a key whose outcome stays unknown; return the work that waits."""
-        record = self.records.pop(key, None)
+        record = self._drop(key)
         return record.waiters if record else []
 
 
--- /dev/null
+++ b/balsamdeal/core/questions.py
@@ -0,0 +1,98 @@
+"""Questions of callers: what became of a key. Asking bars the key everywhere."""
+
+import json
+from dataclasses import dataclass, field
+
+from balsamdeal.core import effects, outcomes
+from balsamdeal.core.replies import ANSWERED, NOT_RUN, UNKNOWN, Reply, make_unknown
+from balsamdeal.documents import VMS
+
+QUESTION_TIMER = "question"
+QUESTION_BOUND_S = 2.0
+
+
+@dataclass(slots=True)
+class Question:
+    """A caller's question about a key; ``expected`` VMs are asked."""
+
+    event: object
+    expected: int
+    findings: list = field(default_factory=list)
+
+
+class Questions:
+    """Questions that have no answer yet; changed in place.
+
+    :param distribution: the ``Distribution``, for versions and start times.
+    :param policy: the ``outcomes.KeyPolicy``.
+    """
+
+    def __init__(self, distribution, policy):
+        self.distribution = distribution
+        self.membership = distribution.membership
+        self.policy = policy
+        self.questions = {}
+
+    def ask(self, event):
+        """Ask all VMs of a service what became of a key, and bar it there."""
+        vms = list(self.membership.list_service(event.service))
+        if not vms:
+            reply = make_unknown("ask", event.service, "no VM of this service is known")
+            return [effects.AnswerCaller(event.request_id, reply, "", "", "", 0)]
+        self.questions[event.request_id] = Question(event, len(vms))
+        result = [
+            effects.SendInquiry(
+                event.request_id, vm.name, vm.peer_address, event.key, ""
+            )
+            for vm in vms
+        ]
+        at_s = event.now_s + QUESTION_BOUND_S
+        return [*result, effects.SetTimer(QUESTION_TIMER, event.request_id, at_s)]
+
+    def take_finding(self, event):
+        """Collect what a VM knows of a key that a caller asked about."""
+        question = self.questions.get(event.subject)
+        if question is None:
+            return []
+        question.findings.append(event.finding)
+        if len(question.findings) < question.expected:
+            return []
+        return self.end(event.subject, event.now_s)
+
+    def end(self, subject, now_s):
+        """Answer a question by what has been found."""
+        question = self.questions.pop(subject, None)
+        if question is None:
+            return []
+        state, vm = self._judge(question, now_s)
+        body = json.dumps({"state": state, "vm": vm}).encode()
+        headers = (("Content-Type", "application/json"),)
+        reply = Reply(ANSWERED, 200, headers, body)
+        return [effects.AnswerCaller(subject, reply, "", "", "", 0)]
+
+    def _judge(self, question, now_s):
+        event = question.event
+        distribution = self.distribution
+        for finding in question.findings:
+            if finding.state in (outcomes.RUNNING, outcomes.DONE):
+                return finding.state, finding.vm
+        departed = [
+            name
+            for name, (item, _) in self.membership.departed.items()
+            if item.service == event.service
+        ]
+        missing = len(question.findings) < question.expected
+        held = distribution.channels[VMS].version.revision
+        # A newer list may hold a VM that was not asked.
+        newer = any(item.vms_revision > held for item in question.findings)
+        wall_s = distribution.get_wall_s(now_s)
+        unrun = outcomes.is_proved_unrun(
+            event.key, question.findings, wall_s, self.policy
+        )
+        if departed or missing or newer or not unrun:
+            return UNKNOWN, "".join(departed[:1])
+        return NOT_RUN, ""
+
+    def is_idle(self):
+        """Return whether every question has its answer."""
+        return not self.questions
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -9,7 +9,7 @@
 from balsamdeal.core import effects, outcomes
 from balsamdeal.core.admission import Admission
 from balsamdeal.core.events import Finding
-from balsamdeal.core.replies import ANSWERED, Load, make_not_run, make_unknown
+from balsamdeal.core.replies import Load, make_not_run, make_unknown
 from balsamdeal.documents import VMS
 
 CLEARING = "clearing"
@@ -381,13 +381,7 @@
         del self.jobs[event.work_id]
         result = [self._reply(event.work_id, reply)]
         if event.key in self.outcomes.records and not event.idempotent:
-            kept = reply
-            if reply.outcome == ANSWERED and len(reply.body) > outcomes.MAX_STORED_BODY:
-                reason = "it ran, and its answer was too large to keep"
-                kept = replace(
-                    make_unknown("memory", self.own.name, reason), status=409
-                )
-            waiters = self.outcomes.finish(event.key, kept)
+            waiters = self.outcomes.finish(event.key, reply)
             result += self._reply_waiters(waiters, reply)
         return result
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -14,6 +14,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 
+from balsamdeal.documents import build_document
 from balsamdeal.net.forwarding import respond
 
 READS_PER_S = 2000
@@ -21,6 +22,35 @@
 MAX_WAIT_S = 60.0
 
 
+def describe_vm(vm):
+    """Return a VM as the platform's list has it.
+
+    :param vm: a ``balsamdeal.snapshots.Vm``.
+    """
+    return {
+        "vm": vm.name,
+        "region": vm.region,
+        "failure_domain": vm.failure_domain,
+        "service": vm.service,
+        "peer_address": vm.peer_address,
+        "operator_address": vm.operator_address,
+        "state": "leaving" if vm.leaving else "live",
+    }
+
+
+def make_vms_document(revision, vms):
+    """Return the document that nodes make of a VM list, for use without sockets.
+
+    :param revision: the revision of the list.
+    :param vms: ``balsamdeal.snapshots.Vm`` objects.
+    """
+    domains = {}
+    for vm in vms:
+        domains.setdefault(vm.failure_domain, []).append(describe_vm(vm))
+    parts = {name: json.dumps({"vms": entries}) for name, entries in domains.items()}
+    return build_document(revision, parts)
+
+
 class Platform:
     """Values with all their revisions, and the switches.
 
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -6,7 +6,6 @@
 
 import heapq
 import itertools
-import json
 import uuid
 from random import Random
 
@@ -16,6 +15,7 @@
 from balsamdeal.core.replies import ANSWERED, Reply
 from balsamdeal.documents import CONFIG, VMS, build_document
 from balsamdeal.snapshots import Vm
+from standins.platform import make_vms_document
 
 EPOCH_S = 1_700_000_000.0
 TICK_S = 0.1
@@ -55,24 +55,6 @@
     )
 
 
-def make_vms_document(revision, vms):
-    """Return the document of a VM list."""
-    domains = {}
-    for vm in vms:
-        entry = {
-            "vm": vm.name,
-            "region": vm.region,
-            "failure_domain": vm.failure_domain,
-            "service": vm.service,
-            "peer_address": vm.peer_address,
-            "operator_address": vm.operator_address,
-            "state": "leaving" if vm.leaving else "live",
-        }
-        domains.setdefault(vm.failure_domain, []).append(entry)
-    parts = {name: json.dumps({"vms": entries}) for name, entries in domains.items()}
-    return build_document(revision, parts)
-
-
 def make_key(wall_s, number):
     """Return a UUIDv7 that was made at ``wall_s``."""
     value = int(wall_s * 1000) << 80 | 7 << 76 | 2 << 62 | number
--- a/tests/core/test_crossings.py
+++ b/tests/core/test_crossings.py
@@ -6,11 +6,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamdeal.core import events
+from standins.platform import make_vms_document
 from tests.core.fakes import (
     EPOCH_S,
     make_key,
     make_vm,
-    make_vms_document,
     start_fabric,
 )
 
--- a/tests/core/test_distribution.py
+++ b/tests/core/test_distribution.py
@@ -3,14 +3,14 @@
 import unittest
 
 from balsamdeal.core import distribution, events
-from balsamdeal.core.distribution import WATCH_WAIT_S
+from balsamdeal.core.sources import AGE_BOUND_S, PROBE_INTERVAL_S, WATCH_WAIT_S
 from balsamdeal.documents import CHANNELS, CONFIG, VMS, build_document
+from standins.platform import make_vms_document
 from tests.core.fakes import (
     BAD_TEMPLATE,
     Fabric,
     make_parts,
     make_vm,
-    make_vms_document,
     start_fabric,
 )
 
@@ -74,8 +74,7 @@
         for node in fabric.nodes.values():
             node.membership.is_watcher = lambda channel, now_s: False
         fabric.publish_config(2)
-        bound_s = distribution.WATCH_WAIT_S + distribution.SOURCE_AGE_BOUND_S
-        fabric.run(bound_s + distribution.PROBE_INTERVAL_S + IN_FORCE_S)
+        fabric.run(WATCH_WAIT_S + AGE_BOUND_S + PROBE_INTERVAL_S + IN_FORCE_S)
         self.assertEqual(set(list_revisions(fabric)), {2})
 
     def test_crossed_announcements_of_two_versions_end_at_the_newer(self):
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -5,11 +5,12 @@
 from balsamdeal.core import events, outcomes
 from balsamdeal.core.admission import QUEUE_PER_SLOT
 from balsamdeal.core.membership import rank
+from balsamdeal.core.replies import Reply
+from standins.platform import make_vms_document
 from tests.core.fakes import (
     EPOCH_S,
     make_key,
     make_vm,
-    make_vms_document,
     start_fabric,
 )
 
@@ -296,6 +297,21 @@
         self.assertEqual(fabric.answers["r3"].outcome, "answered")
         self.check_promises(fabric, keys)
 
+    def test_memory_is_bounded_by_bytes_and_says_that_the_key_ran(self):
+        memory = outcomes.Outcomes("vm-1")
+        body = b"x" * outcomes.MAX_STORED_BODY
+        reply = Reply("answered", 200, (), body)
+        count = outcomes.MAX_STORED_BYTES // len(body) + 5
+        for number in range(count):
+            memory.begin(f"k{number}", outcomes.RUNNING, 0.0)
+            memory.finish(f"k{number}", reply)
+        self.assertLessEqual(memory.stored_bytes, outcomes.MAX_STORED_BYTES)
+        self.assertEqual(memory.records["k0"].reply.body, body)
+        last = memory.records[f"k{count - 1}"].reply
+        self.assertEqual((last.outcome, last.status), ("unknown", 409))
+        memory.expire(outcomes.MEMORY_S + 1)
+        self.assertEqual((memory.stored_bytes, memory.records), (0, {}))
+
     def test_memory_is_bounded_by_age(self):
         fabric = start_settled(1)
         address = next(iter(fabric.vms))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -268,7 +268,7 @@
 
     def test_leaving_vm_gets_no_new_work_after_three_seconds(self):
         victim = self.fleet.members[1]
-        victim.state = "leaving"
+        victim.leaving = True
         self.fleet.publish_vms()
         time.sleep(3)
         before = sum(self.fleet.switch_target(victim, "runs")["runs"].values())
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -156,11 +156,11 @@
         )
     notes = (
         f"Bytes at rest: {base:.0f} + {per_watch:.0f} a watch, largest residual "
-        f"{residual:.0f} B/s. Core: {core:.2f} % + {core_watch:.2f} % a watch, residual "
-        f"{core_residual:.2f} %. Memory: {memory:.1f} MB + {memory_slope:.3f} MB a "
-        f"node, residual {memory_residual:.1f} MB. VM list: {largest['delta_bytes']} "
-        f"B a change of one domain at {NODES} entries, {largest['document_bytes']} B "
-        f"whole. Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
+        f"{residual:.0f} B/s. Core: {core:.2f} % + {core_watch:.2f} % a watch, "
+        f"residual {core_residual:.2f} %. Memory: {memory:.1f} MB + "
+        f"{memory_slope:.3f} MB a node, residual {memory_residual:.1f} MB. "
+        f"VM list at {NODES} entries: {largest['delta_bytes']} B a change of one "
+        f"domain, {largest['document_bytes']} B whole. Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
     )
     header = ("role", "control B/s", "", "core %", "", "MB", "")
     return make_table(header, table) + "\n\n" + notes
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -17,6 +17,7 @@
 from balsamdeal.documents import CONFIG, VMS, build_document, compute_delta
 from balsamdeal.net import wire
 from balsamdeal.snapshots import Vm, render_snapshot
+from standins.platform import make_vms_document
 from tools.measure import DATA, describe_run
 
 DOMAINS = 7
@@ -42,25 +43,6 @@
     ]
 
 
-def make_vms_document(revision, vms):
-    """Return the document that ``net.source`` would make of a VM list."""
-    domains = {}
-    for vm in vms:
-        domains.setdefault(vm.failure_domain, []).append(
-            {
-                "vm": vm.name,
-                "region": vm.region,
-                "failure_domain": vm.failure_domain,
-                "service": vm.service,
-                "peer_address": vm.peer_address,
-                "operator_address": vm.operator_address,
-                "state": "leaving" if vm.leaving else "live",
-            }
-        )
-    parts = {name: json.dumps({"vms": entries}) for name, entries in domains.items()}
-    return build_document(revision, parts)
-
-
 def make_config(revision, workspaces, routes=10):
     """Return a configuration document with 29 services and that many workspaces."""
     parts = {
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -21,6 +21,8 @@
 
 from balsamdeal.cli import NodeError, fetch_all, fetch_node
 from balsamdeal.folders import read_parts
+from balsamdeal.snapshots import Vm
+from standins.platform import describe_vm
 
 ROOT = Path(__file__).resolve().parent.parent
 CONFIG_KEY = "balsamdeal/config"
@@ -40,10 +42,22 @@
     failure_domain: str
     service: str
     host: str
-    state: str = "live"
+    leaving: bool = False
     process: subprocess.Popen | None = None
     target: subprocess.Popen | None = None
 
+    def make_vm(self):
+        """Return the member as an entry of the VM list."""
+        return Vm(
+            self.vm,
+            self.region,
+            self.failure_domain,
+            self.service,
+            self.peer_address,
+            self.operator_address,
+            self.leaving,
+        )
+
     @property
     def caller_address(self):
         """The address that callers use."""
@@ -163,19 +177,7 @@
 
     def publish_vms(self):
         """Publish the VM list as the members stand."""
-        vms = [
-            {
-                "vm": member.vm,
-                "region": member.region,
-                "failure_domain": member.failure_domain,
-                "service": member.service,
-                "peer_address": member.peer_address,
-                "operator_address": member.operator_address,
-                "state": member.state,
-            }
-            for member in self.members
-            if member.state != "gone"
-        ]
+        vms = [describe_vm(member.make_vm()) for member in self.members]
         return self.publish_text(json.dumps({"vms": vms}), VMS_KEY)
 
     # Members
