Test both programs, hedges, hints and crossed answers; end abandoned copies

Cause: a copy that waited for the first sending of its key left its payload in the shell for good when its ingress closed the exchange (test failed first: no effect). Conclusion: every piece of work ends in one reply, also when nobody reads it.

--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -344,6 +344,8 @@
             return [effects.CancelTarget(event.work_id)]
         if job.state == WAITING:
             del self.jobs[event.work_id]
+            reply = make_unknown("wait", self.own.name, "the ingress left")
+            return [self._reply(event.work_id, reply)]
         return []
 
     # Target
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -90,6 +90,7 @@
         self.runs = {}
         self.answers = {}
         self.changes = []
+        self.cancelled = []
         self.hung_targets = set()
         self.down_targets = set()
         self.watchers = []
@@ -416,7 +417,7 @@
         self.after(effect.timeout_s + 0.05, give_up)
 
     def do_CancelAttempt(self, address, life, effect):  # noqa: N802
-        pass
+        self.cancelled.append(type(effect).__name__)
 
     def do_CancelTarget(self, address, life, effect):  # noqa: N802
         pass
--- a/tests/core/test_distribution.py
+++ b/tests/core/test_distribution.py
@@ -249,6 +249,22 @@
         self.assertEqual(fabric.answers["r1"].outcome, "answered")
 
 
+class HintTest(unittest.TestCase):
+    """A call that carries a newer version is a hint to pull it."""
+
+    def test_hint_brings_the_newer_version_without_any_announcement(self):
+        fabric = start_fabric(2)
+        behind, ahead = fabric.vms
+        fabric.deaf.add(behind)
+        version = fabric.publish_config(2).version
+        fabric.run(IN_FORCE_S)
+        self.assertEqual(sorted(list_revisions(fabric)), [1, 2])
+        event = events.VersionHinted(ahead, version, fabric.now_s)
+        fabric.hand(behind, fabric.lives[behind], event)
+        fabric.run(0.1)
+        self.assertEqual(list_revisions(fabric), [2, 2])
+
+
 class SourceLoadTest(unittest.TestCase):
     """The source sees as many readers as there are domains, also after a herd."""
 
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -6,10 +6,13 @@
 from balsamdeal.core.admission import QUEUE_PER_SLOT
 from balsamdeal.core.membership import rank
 from balsamdeal.core.replies import Reply
+from balsamdeal.documents import build_document
 from standins.platform import make_vms_document
 from tests.core.fakes import (
     EPOCH_S,
+    TEMPLATE,
     make_key,
+    make_parts,
     make_vm,
     start_fabric,
 )
@@ -280,6 +283,24 @@
         fabric.run(1)
         self.assertEqual(fabric.answers["r2"].outcome, "answered")
 
+    def test_copy_that_waits_for_the_first_is_ended_when_its_ingress_leaves(self):
+        fabric = start_settled(1)
+        address = next(iter(fabric.vms))
+        node = fabric.nodes[address]
+        fabric.hung_targets = {address}
+        fabric.call(address, "r1", "k1")
+        fabric.run(0.1)
+        flow = ("members", "charge")
+        wall_s = EPOCH_S + fabric.now_s
+        copy = events.WorkReceived(
+            "w1", "desk", flow, 1.0, "k1", False, False, 9.0, wall_s, fabric.now_s
+        )
+        node.reduce(copy)
+        self.assertIn("w1", node.work.jobs)
+        ended = node.reduce(events.WorkAbandoned("w1", fabric.now_s))
+        self.assertEqual([effect.work_id for effect in ended], ["w1"])
+        self.assertNotIn("w1", node.work.jobs)
+
     def test_full_memory_refuses_new_keys_and_drops_no_young_one(self):
         fabric = start_settled(1)
         address = next(iter(fabric.vms))
@@ -386,6 +407,29 @@
         self.assertNotIn("retries", fabric.nodes[ingress].distribution.counters)
         self.assertEqual(fabric.answers["r1"].outcome, "not-run")
 
+    def test_slow_lookup_is_hedged_once_on_another_target(self):
+        fabric = start_settled()
+        template = TEMPLATE.replace("class: lookup", "class: patient")
+        parts = make_parts(template=template)
+        parts["services/desk.yaml"] = (
+            "slots: 2\nconnections: 10\nclasses:\n"
+            "  charge: {weight: 1, timeout_s: 1.0}\n"
+            "  patient: {weight: 1, timeout_s: 2.0, hedge_after_s: 0.1}\n"
+        )
+        fabric.publish(build_document(2, parts))
+        fabric.run(3)
+        ingress = next(iter(fabric.vms))
+        fabric.hung_targets = {ingress}
+        fabric.call(ingress, "r1", method="GET", path="/tickets")
+        fabric.run(0.5)
+        self.assertEqual(fabric.answers["r1"].outcome, "answered")
+        self.assertEqual(fabric.nodes[ingress].distribution.counters["hedges"], 1)
+        self.assertEqual(fabric.runs, {"r1": 2})
+        self.assertIn("CancelAttempt", fabric.cancelled)
+        fabric.call(ingress, "r2")
+        fabric.run(2)
+        self.assertEqual(fabric.runs["r2"], 1, "a charge is never hedged")
+
     def test_overload_answers_at_once_and_what_runs_is_answered(self):
         fabric = start_settled(1)
         ingress = next(iter(fabric.vms))
--- /dev/null
+++ b/tests/net/test_forwarding.py
@@ -0,0 +1,68 @@
+"""Tests of forwarding: an answer reaches only the request that it belongs to."""
+
+import unittest
+from types import SimpleNamespace
+
+from tornado.httputil import HTTPHeaders
+
+from balsamdeal.core import effects, events
+from balsamdeal.core.replies import Reply
+from balsamdeal.documents import CONFIG, Version
+from balsamdeal.net import wire
+from balsamdeal.net.connections import Response
+from balsamdeal.net.forwarding import Forwarding
+
+HELD = Version(3, "c")
+EFFECT = effects.SendAttempt(
+    "r1.1", "r1", "vm-2", "10.0.0.2:7002", "desk", ("w", "c"), 1.0, "k", False, True,
+    1.0, 0.0, False,
+)  # fmt: skip
+
+
+class CrossedAnswerTest(unittest.TestCase):
+    """Replies between nodes echo the attempt that they belong to."""
+
+    def setUp(self):
+        self.dropped = []
+        self.handled = []
+        state = SimpleNamespace(version=HELD)
+        self.forwarding = Forwarding(
+            SimpleNamespace(
+                loop=SimpleNamespace(time=lambda: 1.0),
+                pool=SimpleNamespace(drop_idle=self.dropped.append),
+                handle=self.handled.append,
+                node=SimpleNamespace(
+                    distribution=SimpleNamespace(channels={CONFIG: state})
+                ),
+            )
+        )
+
+    def decode(self, attempt, version=HELD):
+        reply = Reply("answered", 200, (("A", "b"),), b"body")
+        headers = HTTPHeaders({"A": "b"})
+        headers[wire.REPLY_HEADER] = wire.encode_reply(attempt, reply, version)
+        response = Response(200, headers, b"body", 0)
+        return self.forwarding._decode_reply(EFFECT, response)
+
+    def test_own_answer_is_taken_whole(self):
+        event = self.decode("r1.1")
+        self.assertIsInstance(event, events.AttemptAnswered)
+        self.assertEqual(event.reply.body, b"body")
+        self.assertEqual(event.reply.headers, (("A", "b"),))
+        self.assertEqual(self.handled, [])
+
+    def test_answer_to_another_attempt_is_a_failure_that_may_have_run(self):
+        event = self.decode("r2.1")
+        self.assertIsInstance(event, events.AttemptFailed)
+        self.assertTrue(event.written)
+        self.assertEqual(self.dropped, ["10.0.0.2:7002"])
+
+    def test_answer_without_its_header_is_a_failure(self):
+        response = Response(200, HTTPHeaders(), b"", 0)
+        event = self.forwarding._decode_reply(EFFECT, response)
+        self.assertIsInstance(event, events.AttemptFailed)
+
+    def test_newer_version_of_an_answer_is_a_hint(self):
+        self.decode("r1.1", Version(4, "a"))
+        expected = events.VersionHinted("10.0.0.2:7002", Version(4, "a"), 1.0)
+        self.assertEqual(self.handled, [expected])
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,91 @@
+"""Tests of both programs: exit codes, JSON, help, a real node."""
+
+import contextlib
+import io
+import json
+import unittest
+
+from balsamdeal import cli, daemon
+from tools.fleet import ROOT, Fleet
+
+LAKESHORE = ROOT / "examples" / "lakeshore"
+
+
+def run(main, *arguments):
+    """Return exit code, standard output and standard error of a program."""
+    output, errors = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+        try:
+            code = main(list(map(str, arguments)))
+        except SystemExit as error:
+            code = error.code
+    return code, output.getvalue(), errors.getvalue()
+
+
+class OfflineTest(unittest.TestCase):
+    """What needs no node."""
+
+    def test_validate_and_render(self):
+        code, output, _ = run(cli.main, "validate", "--json", LAKESHORE)
+        self.assertEqual((code, json.loads(output)["valid"]), (0, True))
+        code, output, _ = run(cli.main, "render", "--json", LAKESHORE)
+        self.assertEqual((code, len(json.loads(output))), (0, 5))
+        code, output, _ = run(cli.main, "validate", "--json", ROOT / "docs")
+        self.assertEqual((code, json.loads(output)["fault"]["step"]), (1, "read"))
+
+    def test_wrong_usage_exits_with_two(self):
+        self.assertEqual(run(cli.main, "status")[0], 2)
+        self.assertEqual(run(cli.main, "wait", "many", "127.0.0.1:1")[0], 2)
+
+    def test_daemon_reports_all_faults_and_exits_with_two(self):
+        code, _, errors = run(daemon.main, "--fleet-size", "none")
+        self.assertEqual(code, 2)
+        self.assertIn("--vm: is required", errors)
+        self.assertIn("--fleet-size: 'none' is not a number", errors)
+
+    def test_silent_node_is_a_negative_result(self):
+        self.assertEqual(run(cli.main, "status", "127.0.0.1:9")[0], 1)
+        self.assertEqual(run(cli.main, "metrics", "127.0.0.1:9")[0], 1)
+
+
+class NodeTest(unittest.TestCase):
+    """The tool against two nodes."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(LAKESHORE, 2)
+        cls.addClassCleanup(cls.fleet.stop)
+        cls.fleet.start(targets=False)
+        cls.nodes = [member.operator_address for member in cls.fleet.members]
+
+    def test_status_of_each_node(self):
+        code, output, _ = run(cli.main, "status", "--json", *self.nodes)
+        revisions = {
+            node["channels"]["config"]["revision"]
+            for node in json.loads(output).values()
+        }
+        self.assertEqual((code, len(revisions)), (0, 1))
+
+    def test_explain_names_route_service_and_candidates(self):
+        arguments = ("explain", "--json", self.nodes[0], "member-counters")
+        code, output, _ = run(cli.main, *arguments, "/tickets/1")
+        answer = json.loads(output)
+        self.assertEqual((code, answer["service"]), (0, "counter-desk"))
+        self.assertTrue(answer["candidates"][0]["usable"])
+        self.assertEqual(run(cli.main, *arguments, "/nowhere")[0], 1)
+
+    def test_wait_ends_with_the_revision_or_the_timeout(self):
+        text = self.fleet.parts["workspaces/customers.yaml"] + "# edited\n"
+        revision = self.fleet.publish(**{"workspaces/customers.yaml": text})
+        code, output, _ = run(cli.main, "wait", revision, *self.nodes)
+        self.assertEqual(code, 0)
+        self.assertIn("in force on 2 of 2 nodes", output)
+        arguments = ("wait", "--timeout-s", "0.3", revision + 100, *self.nodes)
+        self.assertEqual(run(cli.main, *arguments)[0], 1)
+
+    def test_metrics_in_both_formats(self):
+        code, output, _ = run(cli.main, "metrics", self.nodes[0])
+        self.assertEqual(code, 0)
+        self.assertIn("balsamdeal_source_reads_total", output)
+        code, output, _ = run(cli.main, "metrics", "--json", self.nodes[0])
+        self.assertIn("source_reads", json.loads(output)["counters"])
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -130,8 +130,9 @@
     )
     size_mb = memory + memory_slope * NODES
     largest = costs["lists"][-1]
-    churn = LIST_CHANGES_PER_DAY * largest["delta_bytes"] / SECONDS_PER_DAY
-    whole = LIST_CHANGES_PER_DAY * largest["document_bytes"] / SECONDS_PER_DAY
+    moved, size = largest["delta_bytes"], largest["document_bytes"]
+    churn = LIST_CHANGES_PER_DAY * moved / SECONDS_PER_DAY
+    whole = LIST_CHANGES_PER_DAY * size / SECONDS_PER_DAY
     change = rows[-1]["changes"]["bytes_per_change_and_node"]
     edits = CHANGES_PER_DAY * change / SECONDS_PER_DAY
     table = []
@@ -159,8 +160,8 @@
         f"{residual:.0f} B/s. Core: {core:.2f} % + {core_watch:.2f} % a watch, "
         f"residual {core_residual:.2f} %. Memory: {memory:.1f} MB + "
         f"{memory_slope:.3f} MB a node, residual {memory_residual:.1f} MB. "
-        f"VM list at {NODES} entries: {largest['delta_bytes']} B a change of one "
-        f"domain, {largest['document_bytes']} B whole. Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
+        f"VM list at {NODES}: {moved} B a change of one domain, {size} B whole. "
+        f"Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
     )
     header = ("role", "control B/s", "", "core %", "", "MB", "")
     return make_table(header, table) + "\n\n" + notes
