Refuse keys at a node whose VM list may be outdated after a pause

Cause: a home that slept while the VM list dropped it ran a waiting copy of a key on waking, which its new home had run already (test failed first: 2 runs). Ruled out: the deadline of the copy, which its sender's clock would have to carry. Change: after a gap of 0.5 s between events, and where the list lacks the own VM, a caller's key is unknown until the view is confirmed. The clock skew cannot be set below that gap. After: 1 run. Conclusion: a pause shorter than the skew cannot hide a removal.

--- a/balsamdeal/core/distribution.py
+++ b/balsamdeal/core/distribution.py
@@ -137,12 +137,8 @@
             return []
         expected = min(START_PEERS, len(self.membership.seeds))
         asked = len(self.start_answers) >= expected
-        behind = any(
-            offer > state.version
-            for state in self.channels.values()
-            for offer in state.offers.values()
-        )
-        complete = asked and not behind and self.channels[VMS].document is not None
+        listed = self.channels[VMS].document is not None
+        complete = asked and listed and not self._is_behind()
         if not complete and now_s - self.started_s < START_BOUND_S:
             return []
         self.starting = False
@@ -153,6 +149,14 @@
             )
         ]
 
+    def _is_behind(self):
+        """Return whether a peer offers a version that is not held yet."""
+        return any(
+            offer > state.version
+            for state in self.channels.values()
+            for offer in state.offers.values()
+        )
+
     # Time
 
     def tick(self, now_s):
@@ -338,6 +342,8 @@
             return self._pull(event.channel, event.now_s)
         result = self._offer(event.channel, document, event.now_s)
         result += self._pull(event.channel, event.now_s)
+        if not self._is_behind():
+            self.confirmed_s = event.now_s
         return result + self._finish_start(event.now_s)
 
     def answer_pull(self, channel, base):
--- a/balsamdeal/core/node.py
+++ b/balsamdeal/core/node.py
@@ -17,7 +17,7 @@
 from balsamdeal.core.work import Work
 from balsamdeal.documents import CONFIG
 
-PAUSE_BOUND_S = 2.0
+PAUSE_BOUND_S = 0.5
 
 
 class Node:
@@ -98,6 +98,7 @@
         if self.distribution.starting:
             return []
         self._resumed_s = now_s
+        self.work.resumed_s = now_s
         self.ingress.park(now_s)
         self.distribution.count("pauses")
         report = effects.ReportChange("resumed", {"paused_s": round(now_s - last_s, 2)})
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -55,6 +55,7 @@
         self.outcomes = outcomes.Outcomes(own.name)
         self.jobs = {}
         self.target_draining = False
+        self.resumed_s = None
 
     @property
     def draining(self):
@@ -86,10 +87,24 @@
         if not remembered or (event.fresh and not self.outcomes.has_room(True)):
             self.jobs[event.work_id] = job
             return self._admit(job, event.now_s)
+        if not event.fresh and not self._is_view_confirmed():
+            return self._refuse(event, "view", "this node's VM list may be outdated")
         if not self.outcomes.has_room(False):
             return self._refuse(event, "memory", "too many keys are remembered")
         return self._clear(job, event.now_s)
 
+    def _is_view_confirmed(self):
+        """Return whether this node may be the home of keys.
+
+        After a pause the VM list may have dropped this VM while it slept, and its
+        keys may run elsewhere.
+        """
+        if self.own.name not in self.membership.vms:
+            return False
+        if self.resumed_s is None:
+            return True
+        return self.distribution.confirmed_s >= self.resumed_s
+
     def _update_slots(self):
         snapshot = self.distribution.snapshot
         if snapshot is not None and self.own.service in snapshot.services:
--- a/balsamdeal/settings.py
+++ b/balsamdeal/settings.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from balsamdeal.core.distribution import TREE, VARIANTS
+from balsamdeal.core.node import PAUSE_BOUND_S
 from balsamdeal.core.outcomes import KeyPolicy
 from balsamdeal.errors import SettingsError
 from balsamdeal.snapshots import Vm
@@ -147,7 +148,7 @@
         "max-body-bytes", present["max-body-bytes"], int, 1024, 2**30, faults
     )
     skew_s = _parse_number(
-        "clock-skew-s", present["clock-skew-s"], float, 0, 60, faults
+        "clock-skew-s", present["clock-skew-s"], float, PAUSE_BOUND_S, 60, faults
     )
     horizon_s = _parse_number(
         "resend-horizon-s", present["resend-horizon-s"], float, 1, 300, faults
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -210,6 +210,26 @@
         self.assertEqual(fabric.answers["r3"].outcome, "answered")
         self.check_promises(fabric, keys)
 
+    def test_home_that_sleeps_through_its_removal_does_not_run_a_waiting_copy(self):
+        fabric = start_settled()
+        key = make_key(EPOCH_S + fabric.now_s + 4, 1)
+        home, other, third = list_ranking(fabric, key)
+        fabric.deaf.add(third)
+        fabric.paused.add(home)
+        left = [vm for vm in fabric.vms.values() if vm.peer_address != home]
+        fabric.publish(make_vms_document(2, left))
+        fabric.run(5)
+        keys = {}
+        self.send(fabric, keys, third, "r1", key)
+        fabric.run(0.1)
+        self.send(fabric, keys, other, "r2", key)
+        fabric.run(0.5)
+        self.assertEqual(fabric.answers["r2"].outcome, "answered")
+        fabric.paused.clear()
+        fabric.run(3)
+        self.assertEqual(fabric.runs, {key: 1})
+        self.check_promises(fabric, keys)
+
     def test_question_bars_a_key_so_that_a_delayed_copy_does_not_run(self):
         fabric = start_settled()
         address = next(iter(fabric.vms))
