Keep keys of workspaces apart, and refuse a key for another request

Cause: keys were known by their text alone, so a caller could get the answer to another workspace's request under the same key. Found by reading; the test was written with the change and was not run against the code before it. Change: a key is known with its workspace, and with a digest of method, path and body. Conclusion: an answer from memory belongs to the request that asks for it.

--- a/balsamdeal/core/effects.py
+++ b/balsamdeal/core/effects.py
@@ -86,6 +86,7 @@
     flow: tuple[str, str]
     weight: float
     key: str
+    fingerprint: str
     fresh: bool
     idempotent: bool
     timeout_s: float
--- a/balsamdeal/core/events.py
+++ b/balsamdeal/core/events.py
@@ -125,13 +125,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
-    """A caller's request; ``key`` is its Idempotency-Key or the empty string."""
+    """A caller's request.
+
+    ``key`` is its Idempotency-Key or the empty string, ``fingerprint`` a digest of
+    what the request is.
+    """
 
     request_id: str
     workspace: str
     method: str
     path: str
     key: str
+    fingerprint: str
     timeout_s: float | None
     may_retry: bool
     now_s: float
@@ -167,7 +172,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeAsked:
-    """A caller asks what became of a key."""
+    """A caller asks what became of a key; ``key`` as by ``outcomes.scope_key``."""
 
     request_id: str
     service: str
@@ -189,6 +194,7 @@
     flow: tuple[str, str]
     weight: float
     key: str
+    fingerprint: str
     fresh: bool
     idempotent: bool
     timeout_s: float
--- a/balsamdeal/core/ingress.py
+++ b/balsamdeal/core/ingress.py
@@ -8,6 +8,7 @@
 
 from balsamdeal.core import effects
 from balsamdeal.core.membership import REFUSED, rank
+from balsamdeal.core.outcomes import scope_key
 from balsamdeal.core.replies import (
     ANSWERED,
     NOT_RUN,
@@ -53,6 +54,12 @@
     moves: int = 0
     last: object = None
 
+    @property
+    def key(self):
+        """The key that nodes know the request by."""
+        key = self.event.key or self.event.request_id
+        return scope_key(self.event.workspace, key)
+
     @property
     def keyed(self):
         """Whether the caller's key decides where the request may run."""
@@ -168,7 +175,8 @@
                 route.service.name,
                 (event.workspace, route.traffic_class.name),
                 route.traffic_class.weight * route.share,
-                event.key or event.request_id,
+                request.key,
+                event.fingerprint,
                 not event.key,
                 request.idempotent,
                 max(0.001, request.deadline_s - now_s),
@@ -182,7 +190,7 @@
         if not request.keyed:
             return self.routing.choose(service, request.tried, now_s)
         members = self.membership.list_service(service.name)
-        for vm in rank(request.event.key, members):
+        for vm in rank(request.key, members):
             if vm.name in request.tried or not self.membership.takes_work(vm, now_s):
                 continue
             return vm
--- a/balsamdeal/core/outcomes.py
+++ b/balsamdeal/core/outcomes.py
@@ -36,10 +36,18 @@
 UNPROVED = "unproved"
 
 
+def scope_key(workspace, key):
+    """Return a key as nodes know it: one workspace's keys are not another's."""
+    return f"{workspace}/{key}"
+
+
 def parse_birth_s(key):
-    """Return when a UUIDv7 key was made, in seconds since the epoch, or None."""
+    """Return when a UUIDv7 key was made, in seconds since the epoch, or None.
+
+    :param key: a key as by ``scope_key``.
+    """
     try:
-        parsed = uuid.UUID(key)
+        parsed = uuid.UUID(key.partition("/")[2])
     except ValueError:
         return None
     return (parsed.int >> 80) / 1000.0 if parsed.version == 7 else None
@@ -68,6 +76,7 @@
 
     state: str
     noted_s: float
+    fingerprint: str = ""
     reply: object = None
     asker: str = ""
     waiters: list = field(default_factory=list)
@@ -111,9 +120,9 @@
         """
         return len(self.records) < (MAX_RECORDS // 2 if fresh else MAX_RECORDS)
 
-    def begin(self, key, state, now_s):
-        """Note that a key is CLEARING or RUNNING."""
-        self.records[key] = Record(state, now_s)
+    def begin(self, key, state, now_s, fingerprint=""):
+        """Note that a key is CLEARING or RUNNING, and for which request."""
+        self.records[key] = Record(state, now_s, fingerprint)
 
     def answer_inquiry(self, key, asker, now_s):
         """Return the state that a peer is told, and bar the key if it is unknown.
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -128,6 +128,10 @@
         record = self.outcomes.find(event.key, event.now_s)
         if record is None:
             return None
+        if record.fingerprint and record.fingerprint != event.fingerprint:
+            reason = "the key was used for another request"
+            reply = replace(make_unknown("key", self.own.name, reason), status=422)
+            return [self._reply(event.work_id, reply)]
         if record.state == outcomes.DONE:
             self.distribution.count("work_from_memory")
             return [self._reply(event.work_id, record.reply)]
@@ -182,7 +186,7 @@
             return self._begin(job, now_s)
         job.state = CLEARING
         job.expected = len(vms)
-        self.outcomes.begin(event.key, outcomes.CLEARING, now_s)
+        self.outcomes.begin(event.key, outcomes.CLEARING, now_s, event.fingerprint)
         self.distribution.count("inquiries", len(vms))
         result = [
             effects.SendInquiry(
@@ -259,7 +263,7 @@
         key = job.event.key
         record = self.outcomes.records.get(key)
         if record is None:
-            self.outcomes.begin(key, outcomes.RUNNING, now_s)
+            self.outcomes.begin(key, outcomes.RUNNING, now_s, job.event.fingerprint)
         else:
             record.state = outcomes.RUNNING
         if now_s >= job.deadline_s:
--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -158,6 +158,7 @@
     flow: tuple[str, str]
     weight: float
     key: str
+    fingerprint: str
     fresh: bool
     idempotent: bool
     timeout_s: float
--- a/balsamdeal/net/servers.py
+++ b/balsamdeal/net/servers.py
@@ -1,5 +1,6 @@
 """The three HTTP servers of a node: for callers, for other nodes, for operators."""
 
+import hashlib
 import itertools
 import json
 import logging
@@ -14,7 +15,8 @@
 
 from balsamdeal import models
 from balsamdeal.core import events
-from balsamdeal.documents import Version
+from balsamdeal.core.outcomes import scope_key
+from balsamdeal.documents import DIGEST_LENGTH, Version
 from balsamdeal.net import peers, status, wire
 from balsamdeal.net.connections import measure_message
 from balsamdeal.net.forwarding import OUTCOME_PATH, WORK_PATH, respond
@@ -47,6 +49,17 @@
     return measure_message("HTTP/1.1 200 OK", headers, body)
 
 
+def get_workspace(request):
+    """Return the workspace that a caller names."""
+    return unquote(request.headers.get("Balsamdeal-Workspace", ""))
+
+
+def compute_fingerprint(request):
+    """Return a digest of a request's method, path and body."""
+    content = f"{request.method} {request.uri}\n".encode() + request.body
+    return hashlib.sha256(content).hexdigest()[:DIGEST_LENGTH]
+
+
 def _parse_timeout(text):
     if text is None:
         return None
@@ -71,8 +84,9 @@
     def ask(request):
         service, _, key = request.path[len(OUTCOME_PATH) + 1 :].partition("/")
         request_id = make_request_id()
+        scoped = scope_key(get_workspace(request), unquote(key))
         event = events.OutcomeAsked(
-            request_id, unquote(service), unquote(key), shell.loop.time()
+            request_id, unquote(service), scoped, shell.loop.time()
         )
         shell.forwarding.receive_call(request_id, request, event)
 
@@ -89,10 +103,11 @@
         request_id = make_request_id()
         event = events.RequestReceived(
             request_id,
-            unquote(request.headers.get("Balsamdeal-Workspace", "")),
+            get_workspace(request),
             request.method,
             request.path,
             key,
+            compute_fingerprint(request) if key else "",
             timeout_s,
             request.headers.get("Balsamdeal-Retry") != "no",
             shell.loop.time(),
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -367,10 +367,26 @@
 
     # Requests
 
-    def call(self, address, request_id, key="", method="POST", path="/charges"):
+    def call(
+        self,
+        address,
+        request_id,
+        key="",
+        method="POST",
+        path="/charges",
+        workspace="members",
+    ):
         """Send a caller's request to a node."""
         event = events.RequestReceived(
-            request_id, "members", method, path, key, None, True, self.now_s
+            request_id,
+            workspace,
+            method,
+            path,
+            key,
+            f"{method} {path}",
+            None,
+            True,
+            self.now_s,
         )
         self.hand(address, self.lives[address], event)
 
@@ -402,6 +418,7 @@
                 effect.flow,
                 effect.weight,
                 effect.key,
+                effect.fingerprint,
                 effect.fresh,
                 effect.idempotent,
                 effect.timeout_s,
--- a/tests/core/test_crossings.py
+++ b/tests/core/test_crossings.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from balsamdeal.core import events
+from balsamdeal.core.outcomes import scope_key
 from standins.platform import make_vms_document
 from tests.core.fakes import (
     EPOCH_S,
@@ -83,7 +84,10 @@
             request_id = f"q{len(self.questions)}"
             self.questions[request_id] = self.keys[key]
             event = events.OutcomeAsked(
-                request_id, "desk", self.keys[key], self.fabric.now_s
+                request_id,
+                "desk",
+                scope_key("members", self.keys[key]),
+                self.fabric.now_s,
             )
             self.fabric.hand(address, self.fabric.lives[address], event)
 
@@ -142,8 +146,9 @@
             if reply.outcome == "not-run":
                 self.told_not_run.add(key)
             if reply.outcome == "answered":
-                assert reply.body == f"ran {key}".encode()
-        assert not self.told_not_run & set(runs), "a key that was called not run ran"
+                assert reply.body == f"ran members/{key}".encode()
+        told = {scope_key("members", key) for key in self.told_not_run}
+        assert not told & set(runs), "a key that was called not run ran"
 
 
 CrossingsTest = Crossings.TestCase
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -5,6 +5,7 @@
 from balsamdeal.core import events, outcomes
 from balsamdeal.core.admission import QUEUE_PER_SLOT
 from balsamdeal.core.membership import rank
+from balsamdeal.core.outcomes import scope_key
 from balsamdeal.core.replies import Reply
 from balsamdeal.documents import build_document
 from standins.platform import make_vms_document
@@ -28,8 +29,9 @@
 
 
 def list_ranking(fabric, key):
-    """Return the peer addresses of the nodes, ranked for a key."""
-    return [vm.peer_address for vm in rank(key, fabric.vms.values())]
+    """Return the peer addresses of the nodes, ranked for a key of members."""
+    ranking = rank(scope_key("members", key), fabric.vms.values())
+    return [vm.peer_address for vm in ranking]
 
 
 class TruthTest(unittest.TestCase):
@@ -41,9 +43,13 @@
         for request_id, reply in fabric.answers.items():
             key = keys[request_id] if request_id in keys else request_id
             if reply.outcome == "not-run":
-                self.assertNotIn(key, fabric.runs, f"{request_id} was called not run")
+                self.assertNotIn(
+                    scope_key("members", key),
+                    fabric.runs,
+                    f"{request_id} was called not run",
+                )
             if reply.outcome == "answered":
-                self.assertEqual(reply.body, f"ran {key}".encode())
+                self.assertEqual(reply.body, f"ran members/{key}".encode())
 
 
 class KeyTest(TruthTest):
@@ -60,7 +66,7 @@
             for number, address in enumerate(fabric.vms):
                 self.send(fabric, keys, address, f"r{number}", "k1")
             fabric.run(3)
-            self.assertEqual(fabric.runs, {"k1": 1})
+            self.assertEqual(fabric.runs, {"members/k1": 1})
             outcomes_seen = {reply.outcome for reply in fabric.answers.values()}
             self.assertEqual(outcomes_seen, {"answered"})
             self.check_promises(fabric, keys)
@@ -71,7 +77,7 @@
         for number, address in enumerate(fabric.vms):
             self.send(fabric, keys, address, f"r{number}", "k1")
             fabric.run(10)
-        self.assertEqual(fabric.runs, {"k1": 1})
+        self.assertEqual(fabric.runs, {"members/k1": 1})
         self.check_promises(fabric, keys)
 
     def test_resend_after_the_home_node_died_is_unknown_and_does_not_run(self):
@@ -90,7 +96,7 @@
             fabric.run(3)
             self.send(fabric, keys, other, "r3", key)
             fabric.run(3)
-            self.assertEqual(fabric.runs, {key: 1})
+            self.assertEqual(fabric.runs, {f"members/{key}": 1})
             self.assertEqual(fabric.answers["r2"].outcome, "unknown")
             self.assertEqual(fabric.answers["r3"].outcome, "unknown")
             self.check_promises(fabric, keys)
@@ -117,7 +123,7 @@
         fabric.run(3)
         self.send(fabric, keys, third, "r3", key)
         fabric.run(3)
-        self.assertEqual(fabric.runs, {key: 1})
+        self.assertEqual(fabric.runs, {f"members/{key}": 1})
         outcomes_seen = [fabric.answers[name].outcome for name in ("r1", "r2", "r3")]
         self.assertEqual(outcomes_seen, ["answered"] * 3)
         self.check_promises(fabric, keys)
@@ -136,7 +142,7 @@
         for number, address in enumerate(addresses):
             self.send(fabric, keys, address, f"again{number}", "k1")
         fabric.run(3)
-        self.assertEqual(fabric.runs, {"k1": 1})
+        self.assertEqual(fabric.runs, {"members/k1": 1})
         self.check_promises(fabric, keys)
 
     def test_views_that_differ_by_a_new_vm_run_the_key_once(self):
@@ -158,7 +164,7 @@
             self.send(fabric, keys, "10.0.0.1:7002", "r1", key)
             self.send(fabric, keys, "10.0.0.2:7002", "r2", key)
             fabric.run(3)
-            self.assertEqual(fabric.runs.get(key, 0), 1)
+            self.assertEqual(fabric.runs.get(f"members/{key}", 0), 1)
             self.check_promises(fabric, keys)
         self.assertGreater(ran_at_new, 0, "no key ranked the new VM first")
 
@@ -170,7 +176,7 @@
         self.send(fabric, keys, other, "r1", "k1")
         self.send(fabric, keys, third, "r2", "k1")
         fabric.run(3)
-        self.assertEqual(fabric.runs, {"k1": 1})
+        self.assertEqual(fabric.runs, {"members/k1": 1})
         self.assertEqual(fabric.answers["r1"].outcome, "unknown")
         self.assertEqual(fabric.answers["r2"].outcome, "answered")
         self.check_promises(fabric, keys)
@@ -188,7 +194,7 @@
         fabric.run(3)
         self.send(fabric, keys, third, "r2", "k1")
         fabric.run(3)
-        self.assertEqual(fabric.runs, {"k1": 1})
+        self.assertEqual(fabric.runs, {"members/k1": 1})
         self.assertEqual(fabric.answers["r2"].outcome, "answered")
         self.check_promises(fabric, keys)
 
@@ -206,7 +212,7 @@
         fabric.run(5)
         self.send(fabric, keys, third, "r3", "k1")
         fabric.run(3)
-        self.assertLessEqual(fabric.runs.get("k1", 0), 1)
+        self.assertLessEqual(fabric.runs.get("members/k1", 0), 1)
         self.assertEqual(fabric.answers["r3"].outcome, "answered")
         self.check_promises(fabric, keys)
 
@@ -227,13 +233,38 @@
         self.assertEqual(fabric.answers["r2"].outcome, "answered")
         fabric.paused.clear()
         fabric.run(3)
-        self.assertEqual(fabric.runs, {key: 1})
+        self.assertEqual(fabric.runs, {f"members/{key}": 1})
         self.check_promises(fabric, keys)
 
+    def test_one_key_of_two_workspaces_is_two_keys(self):
+        fabric = start_settled()
+        address = next(iter(fabric.vms))
+        parts = make_parts()
+        parts["workspaces/others.yaml"] = parts["workspaces/members.yaml"]
+        fabric.publish(build_document(2, parts))
+        fabric.run(3)
+        fabric.call(address, "r1", "k1")
+        fabric.run(1)
+        fabric.call(address, "r2", "k1", workspace="others")
+        fabric.run(1)
+        self.assertEqual(fabric.answers["r1"].body, b"ran members/k1")
+        self.assertEqual(fabric.answers["r2"].body, b"ran others/k1")
+
+    def test_one_key_for_two_requests_is_refused(self):
+        fabric = start_settled()
+        address = next(iter(fabric.vms))
+        fabric.call(address, "r1", "k1", path="/charges/1")
+        fabric.run(1)
+        fabric.call(address, "r2", "k1", path="/charges/2")
+        fabric.run(1)
+        reply = fabric.answers["r2"]
+        self.assertEqual((reply.outcome, reply.status), ("unknown", 422))
+        self.assertEqual(fabric.runs, {"members/k1": 1})
+
     def test_question_bars_a_key_so_that_a_delayed_copy_does_not_run(self):
         fabric = start_settled()
         address = next(iter(fabric.vms))
-        event = events.OutcomeAsked("q1", "desk", "k1", fabric.now_s)
+        event = events.OutcomeAsked("q1", "desk", "members/k1", fabric.now_s)
         fabric.hand(address, fabric.lives[address], event)
         fabric.run(1)
         self.assertIn(b'"not-run"', fabric.answers.pop("q1").body)
@@ -254,7 +285,7 @@
         fabric.run(3)
         self.send(fabric, keys, third, "r2", "k1")
         fabric.run(3)
-        self.assertEqual(fabric.runs, {"k1": 1})
+        self.assertEqual(fabric.runs, {"members/k1": 1})
         self.assertEqual(fabric.answers["r2"].outcome, "unknown")
 
     def test_key_that_ran_before_the_new_home_was_agreed_on_does_not_run_again(self):
@@ -276,7 +307,7 @@
             fabric.run(60)
             self.send(fabric, keys, old_home, "r2", key)
             fabric.run(3)
-            self.assertEqual(fabric.runs, {key: 1})
+            self.assertEqual(fabric.runs, {f"members/{key}": 1})
             self.assertEqual(fabric.answers["r2"].outcome, "answered")
         self.assertGreater(tried, 0, "no key ranked the new VM first")
 
@@ -293,12 +324,22 @@
         fabric.attempts["late"] = (address, fabric.lives[address], "late")
         flow = ("members", "charge")
         late = events.WorkReceived(
-            "late", "desk", flow, 1.0, "k1", False, False, 1.0, sent_s, fabric.now_s
+            "late",
+            "desk",
+            flow,
+            1.0,
+            "members/k1",
+            "POST /charges",
+            False,
+            False,
+            1.0,
+            sent_s,
+            fabric.now_s,
         )
         fabric.hand(address, fabric.lives[address], late)
         fabric.run(1)
         self.assertEqual(fabric.runs, {})
-        self.assertEqual(node.work.outcomes.records["k1"].state, outcomes.SHED)
+        self.assertEqual(node.work.outcomes.records["members/k1"].state, outcomes.SHED)
         fabric.call(address, "r2", "k1")
         fabric.run(1)
         self.assertEqual(fabric.answers["r2"].outcome, "answered")
@@ -313,7 +354,17 @@
         flow = ("members", "charge")
         wall_s = EPOCH_S + fabric.now_s
         copy = events.WorkReceived(
-            "w1", "desk", flow, 1.0, "k1", False, False, 9.0, wall_s, fabric.now_s
+            "w1",
+            "desk",
+            flow,
+            1.0,
+            "members/k1",
+            "POST /charges",
+            False,
+            False,
+            9.0,
+            wall_s,
+            fabric.now_s,
         )
         node.reduce(copy)
         self.assertIn("w1", node.work.jobs)
@@ -334,7 +385,7 @@
         self.send(fabric, keys, address, "r3", "k1")
         fabric.run(1)
         self.assertEqual(fabric.answers["r2"].outcome, "unknown")
-        self.assertNotIn("k2", fabric.runs)
+        self.assertNotIn("members/k2", fabric.runs)
         self.assertEqual(fabric.answers["r3"].outcome, "answered")
         self.check_promises(fabric, keys)
 
@@ -360,7 +411,9 @@
         fabric.run(outcomes.MEMORY_S + 1)
         fabric.call(address, "r2", "k2")
         fabric.run(1)
-        self.assertEqual(list(fabric.nodes[address].work.outcomes.records), ["k2"])
+        self.assertEqual(
+            list(fabric.nodes[address].work.outcomes.records), ["members/k2"]
+        )
 
 
 class AttemptTest(TruthTest):
@@ -381,7 +434,7 @@
         fabric.call(next(iter(fabric.vms)), "r1")
         fabric.run(3)
         self.assertEqual(fabric.answers["r1"].outcome, "unknown")
-        self.assertEqual(fabric.runs, {"r1": 1})
+        self.assertEqual(fabric.runs, {"members/r1": 1})
 
     def test_lookup_is_repeated_on_another_target(self):
         fabric = start_settled()
@@ -420,7 +473,7 @@
         fabric.down_targets = set(fabric.vms)
         ingress = next(iter(fabric.vms))
         event = events.RequestReceived(
-            "r1", "members", "GET", "/tickets", "", None, False, fabric.now_s
+            "r1", "members", "GET", "/tickets", "", "", None, False, fabric.now_s
         )
         fabric.hand(ingress, fabric.lives[ingress], event)
         fabric.run(2)
@@ -444,11 +497,11 @@
         fabric.run(0.5)
         self.assertEqual(fabric.answers["r1"].outcome, "answered")
         self.assertEqual(fabric.nodes[ingress].distribution.counters["hedges"], 1)
-        self.assertEqual(fabric.runs, {"r1": 2})
+        self.assertEqual(fabric.runs, {"members/r1": 2})
         self.assertIn("CancelAttempt", fabric.cancelled)
         fabric.call(ingress, "r2")
         fabric.run(2)
-        self.assertEqual(fabric.runs["r2"], 1, "a charge is never hedged")
+        self.assertEqual(fabric.runs["members/r2"], 1, "a charge is never hedged")
 
     def test_overload_answers_at_once_and_what_runs_is_answered(self):
         fabric = start_settled(1)
--- a/tests/net/test_forwarding.py
+++ b/tests/net/test_forwarding.py
@@ -14,9 +14,21 @@
 
 HELD = Version(3, "c")
 EFFECT = effects.SendAttempt(
-    "r1.1", "r1", "vm-2", "10.0.0.2:7002", "desk", ("w", "c"), 1.0, "k", False, True,
-    1.0, 0.0, False,
-)  # fmt: skip
+    attempt_id="r1.1",
+    request_id="r1",
+    vm="vm-2",
+    address="10.0.0.2:7002",
+    service="desk",
+    flow=("w", "c"),
+    weight=1.0,
+    key="w/k",
+    fingerprint="f",
+    fresh=False,
+    idempotent=True,
+    timeout_s=1.0,
+    received_s=0.0,
+    new_connection=False,
+)
 
 
 class CrossedAnswerTest(unittest.TestCase):
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -148,7 +148,7 @@
     def call():
         for number in range(LOOKUPS):
             event = events.RequestReceived(
-                f"r{number}", "workspace-0", "GET", "/p0/1", "", None, True, 6.0
+                f"r{number}", "workspace-0", "GET", "/p0/1", "", "", None, True, 6.0
             )
             for effect in node.reduce(event):
                 attempt = getattr(effect, "attempt_id", None)
