--- a/balsamdeal/core/distribution.py
+++ b/balsamdeal/core/distribution.py
@@ -66,11 +66,20 @@
     :param variant: one of VARIANTS.
     :param fleet_size: the expected number of nodes, which spreads starts.
     :param seed: the seed of all random choices.
+    :param compare_interval_s: the mean time between comparisons, in seconds.
     """
 
-    def __init__(self, membership, variant, fleet_size, seed):
+    def __init__(
+        self,
+        membership,
+        variant,
+        fleet_size,
+        seed,
+        compare_interval_s=COMPARE_INTERVAL_S,
+    ):
         self.membership = membership
         self.variant = variant
+        self.compare_interval_s = compare_interval_s
         self.random = Random(seed)
         self.sources = Sources(self.random, fleet_size)
         self.channels = {
@@ -142,7 +151,7 @@
         if not complete and now_s - self.started_s < START_BOUND_S:
             return []
         self.starting = False
-        self._next_compare_s = now_s + self.random.random() * COMPARE_INTERVAL_S
+        self._next_compare_s = now_s + self.random.random() * self.compare_interval_s
         return [
             effects.ReportChange(
                 "serving", {"revision": self.channels[CONFIG].version.revision}
@@ -182,7 +191,7 @@
 
     def resume(self, now_s):
         """After a pause, compare at once with several peers."""
-        self.confirmed_s = min(self.confirmed_s, now_s - COMPARE_INTERVAL_S)
+        self.confirmed_s = min(self.confirmed_s, now_s - self.compare_interval_s)
         addresses = self.membership.list_peers(now_s, True)
         addresses += self.membership.list_peers(now_s, False)
         chosen = self.random.sample(addresses, min(START_PEERS, len(addresses)))
@@ -192,7 +201,7 @@
     def _compare(self, now_s):
         if self.starting:
             return self._ask_seeds(now_s)
-        self._next_compare_s = now_s + COMPARE_INTERVAL_S * self.random.uniform(
+        self._next_compare_s = now_s + self.compare_interval_s * self.random.uniform(
             0.5, 1.5
         )
         if self.variant == DIRECT:
--- a/balsamdeal/core/node.py
+++ b/balsamdeal/core/node.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from balsamdeal.core import effects, events, work
-from balsamdeal.core.distribution import Distribution
+from balsamdeal.core.distribution import COMPARE_INTERVAL_S, Distribution
 from balsamdeal.core.ingress import Ingress
 from balsamdeal.core.membership import Membership
 from balsamdeal.core.questions import QUESTION_TIMER, Questions
@@ -29,12 +29,24 @@
     :param fleet_size: the expected number of nodes.
     :param seed: the seed of all random choices.
     :param policy: the ``outcomes.KeyPolicy``.
+    :param compare_interval_s: the mean time between comparisons, in seconds.
     """
 
-    def __init__(self, own, seeds, variant, fleet_size, seed, policy):
+    def __init__(
+        self,
+        own,
+        seeds,
+        variant,
+        fleet_size,
+        seed,
+        policy,
+        compare_interval_s=COMPARE_INTERVAL_S,
+    ):
         self.own = own
         self.membership = Membership(own, seeds)
-        self.distribution = Distribution(self.membership, variant, fleet_size, seed)
+        self.distribution = Distribution(
+            self.membership, variant, fleet_size, seed, compare_interval_s
+        )
         self.routing = Routing(self.membership, Random(seed + 1))
         self.ingress = Ingress(self.distribution, self.routing)
         self.questions = Questions(self.distribution, policy)
@@ -79,6 +91,7 @@
             settings.fleet_size,
             settings.seed,
             settings.key_policy,
+            settings.compare_interval_s,
         )
 
     def reduce(self, event):
--- a/balsamdeal/settings.py
+++ b/balsamdeal/settings.py
@@ -31,6 +31,7 @@
     ("vms-key", "balsamdeal/vms", "key of the VM list at the source"),
     ("seeds", "", "comma-separated peer addresses to ask at the start"),
     ("distribution", TREE, f"how versions spread: {', '.join(VARIANTS)}"),
+    ("compare-interval-s", "2.5", "mean time between comparisons with a peer"),
     ("fleet-size", "100", "expected number of nodes, which spreads starts"),
     ("seed", "0", "seed of random choices; 0 draws one at the start"),
     ("clock-skew-s", "0.5", "how far clocks of callers and VMs may differ"),
@@ -60,6 +61,7 @@
     vms_key: str
     seeds: tuple[str, ...]
     distribution: str
+    compare_interval_s: float
     fleet_size: int
     seed: int
     key_policy: KeyPolicy
@@ -143,6 +145,9 @@
     _check_choice("distribution", present["distribution"], VARIANTS, faults)
     _check_choice("log-level", present["log-level"], LOG_LEVELS, faults)
     size = _parse_number("fleet-size", present["fleet-size"], int, 1, 100_000, faults)
+    compare_s = _parse_number(
+        "compare-interval-s", present["compare-interval-s"], float, 0.5, 30, faults
+    )
     seed = _parse_number("seed", present["seed"], int, 0, 2**63, faults)
     body = _parse_number(
         "max-body-bytes", present["max-body-bytes"], int, 1024, 2**30, faults
@@ -179,6 +184,7 @@
         present["vms-key"],
         seeds,
         present["distribution"],
+        compare_s,
         size,
         seed,
         KeyPolicy(skew_s, horizon_s),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -199,6 +199,18 @@
                 self.fleet.administrate("mode/")
                 self.assertLess(self.fleet.wait_revision(revision), IN_FORCE_S)
 
+    def test_nodes_cut_off_from_the_platform_learn_from_the_others(self):
+        nowhere = self.fleet.platform_address.replace(":7000", ":7999")
+        for member in self.fleet.members[2:]:
+            member.process.kill()
+            member.process.wait()
+            self.fleet.start_node(member, platform_address=nowhere)
+        self.fleet.wait_ready()
+        revision = self.publish_share(11)
+        self.assertLess(self.fleet.wait_revision(revision), IN_FORCE_S)
+        counters = self.fleet.fetch_counters(self.fleet.members[3])
+        self.assertGreater(counters["source_failures"], 0)
+
     def test_rollback_is_ignored_and_shown(self):
         revision = self.publish_share(7)
         self.fleet.wait_revision(revision)
