--- a/balsamdeal/core/node.py
+++ b/balsamdeal/core/node.py
@@ -9,14 +9,15 @@
 from random import Random
 
 from balsamdeal.core import effects, events, work
-from balsamdeal.core.distribution import Distribution
+from balsamdeal.core.distribution import COMPARE_INTERVAL_S, Distribution
 from balsamdeal.core.ingress import Ingress
 from balsamdeal.core.membership import Membership
+from balsamdeal.core.questions import QUESTION_TIMER, Questions
 from balsamdeal.core.routing import Routing
 from balsamdeal.core.work import Work
 from balsamdeal.documents import CONFIG
 
-PAUSE_BOUND_S = 2.0
+PAUSE_BOUND_S = 0.5
 
 
 class Node:
@@ -28,14 +29,27 @@
     :param fleet_size: the expected number of nodes.
     :param seed: the seed of all random choices.
     :param policy: the ``outcomes.KeyPolicy``.
+    :param compare_interval_s: the mean time between comparisons, in seconds.
     """
 
-    def __init__(self, own, seeds, variant, fleet_size, seed, policy):
+    def __init__(
+        self,
+        own,
+        seeds,
+        variant,
+        fleet_size,
+        seed,
+        policy,
+        compare_interval_s=COMPARE_INTERVAL_S,
+    ):
         self.own = own
         self.membership = Membership(own, seeds)
-        self.distribution = Distribution(self.membership, variant, fleet_size, seed)
+        self.distribution = Distribution(
+            self.membership, variant, fleet_size, seed, compare_interval_s
+        )
         self.routing = Routing(self.membership, Random(seed + 1))
-        self.ingress = Ingress(self.distribution, self.routing, policy)
+        self.ingress = Ingress(self.distribution, self.routing)
+        self.questions = Questions(self.distribution, policy)
         self.work = Work(self.distribution, own, policy)
         self._last_event_s = None
         self._resumed_s = None
@@ -55,7 +69,7 @@
             events.CallerLeft: self.ingress.leave,
             events.AttemptAnswered: self.ingress.take_reply,
             events.AttemptFailed: self.ingress.take_failure,
-            events.OutcomeAsked: self.ingress.ask,
+            events.OutcomeAsked: self.questions.ask,
             events.WorkReceived: self.work.receive,
             events.WorkAbandoned: self.work.abandon,
             events.TargetAnswered: self.work.take_target_answer,
@@ -77,6 +91,7 @@
             settings.fleet_size,
             settings.seed,
             settings.key_policy,
+            settings.compare_interval_s,
         )
 
     def reduce(self, event):
@@ -96,6 +111,7 @@
         if self.distribution.starting:
             return []
         self._resumed_s = now_s
+        self.work.resumed_s = now_s
         self.ingress.park(now_s)
         self.distribution.count("pauses")
         report = effects.ReportChange("resumed", {"paused_s": round(now_s - last_s, 2)})
@@ -121,6 +137,8 @@
     def _fire_timer(self, event):
         if event.kind == work.WORK_TIMER:
             return self.work.time_out(event)
+        if event.kind == QUESTION_TIMER:
+            return self.questions.end(event.subject, event.now_s)
         return self.ingress.fire_timer(event)
 
     def _drain(self, event):
@@ -151,8 +169,9 @@
     def _take_finding(self, event):
         if event.subject in self.work.jobs:
             return self.work.take_finding(event)
-        return self.ingress.take_finding(event)
+        return self.questions.take_finding(event)
 
     def is_idle(self):
         """Return whether nothing is in flight, so that the process may end."""
-        return self.ingress.is_idle() and self.work.is_idle()
+        parts = (self.ingress, self.questions, self.work)
+        return all(part.is_idle() for part in parts)
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -9,7 +9,7 @@
 from balsamdeal.core import effects, outcomes
 from balsamdeal.core.admission import Admission
 from balsamdeal.core.events import Finding
-from balsamdeal.core.replies import ANSWERED, Load, make_not_run, make_unknown
+from balsamdeal.core.replies import Load, make_not_run, make_unknown
 from balsamdeal.documents import VMS
 
 CLEARING = "clearing"
@@ -55,6 +55,7 @@
         self.outcomes = outcomes.Outcomes(own.name)
         self.jobs = {}
         self.target_draining = False
+        self.resumed_s = None
 
     @property
     def draining(self):
@@ -86,10 +87,24 @@
         if not remembered or (event.fresh and not self.outcomes.has_room(True)):
             self.jobs[event.work_id] = job
             return self._admit(job, event.now_s)
+        if not event.fresh and not self._is_view_confirmed():
+            return self._refuse(event, "view", "this node's VM list may be outdated")
         if not self.outcomes.has_room(False):
             return self._refuse(event, "memory", "too many keys are remembered")
         return self._clear(job, event.now_s)
 
+    def _is_view_confirmed(self):
+        """Return whether this node may be the home of keys.
+
+        After a pause the VM list may have dropped this VM while it slept, and its
+        keys may run elsewhere.
+        """
+        if self.own.name not in self.membership.vms:
+            return False
+        if self.resumed_s is None:
+            return True
+        return self.distribution.confirmed_s >= self.resumed_s
+
     def _update_slots(self):
         snapshot = self.distribution.snapshot
         if snapshot is not None and self.own.service in snapshot.services:
@@ -113,6 +128,10 @@
         record = self.outcomes.find(event.key, event.now_s)
         if record is None:
             return None
+        if record.fingerprint and record.fingerprint != event.fingerprint:
+            reason = "the key was used for another request"
+            reply = replace(make_unknown("key", self.own.name, reason), status=422)
+            return [self._reply(event.work_id, reply)]
         if record.state == outcomes.DONE:
             self.distribution.count("work_from_memory")
             return [self._reply(event.work_id, record.reply)]
@@ -167,7 +186,7 @@
             return self._begin(job, now_s)
         job.state = CLEARING
         job.expected = len(vms)
-        self.outcomes.begin(event.key, outcomes.CLEARING, now_s)
+        self.outcomes.begin(event.key, outcomes.CLEARING, now_s, event.fingerprint)
         self.distribution.count("inquiries", len(vms))
         result = [
             effects.SendInquiry(
@@ -244,7 +263,7 @@
         key = job.event.key
         record = self.outcomes.records.get(key)
         if record is None:
-            self.outcomes.begin(key, outcomes.RUNNING, now_s)
+            self.outcomes.begin(key, outcomes.RUNNING, now_s, job.event.fingerprint)
         else:
             record.state = outcomes.RUNNING
         if now_s >= job.deadline_s:
@@ -344,6 +363,8 @@
             return [effects.CancelTarget(event.work_id)]
         if job.state == WAITING:
             del self.jobs[event.work_id]
+            reply = make_unknown("wait", self.own.name, "the ingress left")
+            return [self._reply(event.work_id, reply)]
         return []
 
     # Target
@@ -381,13 +402,7 @@
         del self.jobs[event.work_id]
         result = [self._reply(event.work_id, reply)]
         if event.key in self.outcomes.records and not event.idempotent:
-            kept = reply
-            if reply.outcome == ANSWERED and len(reply.body) > outcomes.MAX_STORED_BODY:
-                reason = "it ran, and its answer was too large to keep"
-                kept = replace(
-                    make_unknown("memory", self.own.name, reason), status=409
-                )
-            waiters = self.outcomes.finish(event.key, kept)
+            waiters = self.outcomes.finish(event.key, reply)
             result += self._reply_waiters(waiters, reply)
         return result
 
--- a/balsamdeal/settings.py
+++ b/balsamdeal/settings.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from balsamdeal.core.distribution import TREE, VARIANTS
+from balsamdeal.core.node import PAUSE_BOUND_S
 from balsamdeal.core.outcomes import KeyPolicy
 from balsamdeal.errors import SettingsError
 from balsamdeal.snapshots import Vm
@@ -30,6 +31,7 @@
     ("vms-key", "balsamdeal/vms", "key of the VM list at the source"),
     ("seeds", "", "comma-separated peer addresses to ask at the start"),
     ("distribution", TREE, f"how versions spread: {', '.join(VARIANTS)}"),
+    ("compare-interval-s", "2.5", "mean time between comparisons with a peer"),
     ("fleet-size", "100", "expected number of nodes, which spreads starts"),
     ("seed", "0", "seed of random choices; 0 draws one at the start"),
     ("clock-skew-s", "0.5", "how far clocks of callers and VMs may differ"),
@@ -59,6 +61,7 @@
     vms_key: str
     seeds: tuple[str, ...]
     distribution: str
+    compare_interval_s: float
     fleet_size: int
     seed: int
     key_policy: KeyPolicy
@@ -142,12 +145,15 @@
     _check_choice("distribution", present["distribution"], VARIANTS, faults)
     _check_choice("log-level", present["log-level"], LOG_LEVELS, faults)
     size = _parse_number("fleet-size", present["fleet-size"], int, 1, 100_000, faults)
+    compare_s = _parse_number(
+        "compare-interval-s", present["compare-interval-s"], float, 0.5, 30, faults
+    )
     seed = _parse_number("seed", present["seed"], int, 0, 2**63, faults)
     body = _parse_number(
         "max-body-bytes", present["max-body-bytes"], int, 1024, 2**30, faults
     )
     skew_s = _parse_number(
-        "clock-skew-s", present["clock-skew-s"], float, 0, 60, faults
+        "clock-skew-s", present["clock-skew-s"], float, PAUSE_BOUND_S, 60, faults
     )
     horizon_s = _parse_number(
         "resend-horizon-s", present["resend-horizon-s"], float, 1, 300, faults
@@ -178,6 +184,7 @@
         present["vms-key"],
         seeds,
         present["distribution"],
+        compare_s,
         size,
         seed,
         KeyPolicy(skew_s, horizon_s),
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -6,7 +6,6 @@
 
 import heapq
 import itertools
-import json
 import uuid
 from random import Random
 
@@ -16,6 +15,7 @@
 from balsamdeal.core.replies import ANSWERED, Reply
 from balsamdeal.documents import CONFIG, VMS, build_document
 from balsamdeal.snapshots import Vm
+from standins.platform import make_vms_document
 
 EPOCH_S = 1_700_000_000.0
 TICK_S = 0.1
@@ -55,24 +55,6 @@
     )
 
 
-def make_vms_document(revision, vms):
-    """Return the document of a VM list."""
-    domains = {}
-    for vm in vms:
-        entry = {
-            "vm": vm.name,
-            "region": vm.region,
-            "failure_domain": vm.failure_domain,
-            "service": vm.service,
-            "peer_address": vm.peer_address,
-            "operator_address": vm.operator_address,
-            "state": "leaving" if vm.leaving else "live",
-        }
-        domains.setdefault(vm.failure_domain, []).append(entry)
-    parts = {name: json.dumps({"vms": entries}) for name, entries in domains.items()}
-    return build_document(revision, parts)
-
-
 def make_key(wall_s, number):
     """Return a UUIDv7 that was made at ``wall_s``."""
     value = int(wall_s * 1000) << 80 | 7 << 76 | 2 << 62 | number
@@ -108,6 +90,7 @@
         self.runs = {}
         self.answers = {}
         self.changes = []
+        self.cancelled = []
         self.hung_targets = set()
         self.down_targets = set()
         self.watchers = []
@@ -384,10 +367,26 @@
 
     # Requests
 
-    def call(self, address, request_id, key="", method="POST", path="/charges"):
+    def call(
+        self,
+        address,
+        request_id,
+        key="",
+        method="POST",
+        path="/charges",
+        workspace="members",
+    ):
         """Send a caller's request to a node."""
         event = events.RequestReceived(
-            request_id, "members", method, path, key, None, True, self.now_s
+            request_id,
+            workspace,
+            method,
+            path,
+            key,
+            f"{method} {path}",
+            None,
+            True,
+            self.now_s,
         )
         self.hand(address, self.lives[address], event)
 
@@ -419,6 +418,7 @@
                 effect.flow,
                 effect.weight,
                 effect.key,
+                effect.fingerprint,
                 effect.fresh,
                 effect.idempotent,
                 effect.timeout_s,
@@ -434,7 +434,7 @@
         self.after(effect.timeout_s + 0.05, give_up)
 
     def do_CancelAttempt(self, address, life, effect):  # noqa: N802
-        pass
+        self.cancelled.append(type(effect).__name__)
 
     def do_CancelTarget(self, address, life, effect):  # noqa: N802
         pass
--- a/tests/core/test_distribution.py
+++ b/tests/core/test_distribution.py
@@ -3,14 +3,14 @@
 import unittest
 
 from balsamdeal.core import distribution, events
-from balsamdeal.core.distribution import WATCH_WAIT_S
+from balsamdeal.core.sources import AGE_BOUND_S, PROBE_INTERVAL_S, WATCH_WAIT_S
 from balsamdeal.documents import CHANNELS, CONFIG, VMS, build_document
+from standins.platform import make_vms_document
 from tests.core.fakes import (
     BAD_TEMPLATE,
     Fabric,
     make_parts,
     make_vm,
-    make_vms_document,
     start_fabric,
 )
 
@@ -74,8 +74,7 @@
         for node in fabric.nodes.values():
             node.membership.is_watcher = lambda channel, now_s: False
         fabric.publish_config(2)
-        bound_s = distribution.WATCH_WAIT_S + distribution.SOURCE_AGE_BOUND_S
-        fabric.run(bound_s + distribution.PROBE_INTERVAL_S + IN_FORCE_S)
+        fabric.run(WATCH_WAIT_S + AGE_BOUND_S + PROBE_INTERVAL_S + IN_FORCE_S)
         self.assertEqual(set(list_revisions(fabric)), {2})
 
     def test_crossed_announcements_of_two_versions_end_at_the_newer(self):
@@ -250,6 +249,22 @@
         self.assertEqual(fabric.answers["r1"].outcome, "answered")
 
 
+class HintTest(unittest.TestCase):
+    """A call that carries a newer version is a hint to pull it."""
+
+    def test_hint_brings_the_newer_version_without_any_announcement(self):
+        fabric = start_fabric(2)
+        behind, ahead = fabric.vms
+        fabric.deaf.add(behind)
+        version = fabric.publish_config(2).version
+        fabric.run(IN_FORCE_S)
+        self.assertEqual(sorted(list_revisions(fabric)), [1, 2])
+        event = events.VersionHinted(ahead, version, fabric.now_s)
+        fabric.hand(behind, fabric.lives[behind], event)
+        fabric.run(0.1)
+        self.assertEqual(list_revisions(fabric), [2, 2])
+
+
 class SourceLoadTest(unittest.TestCase):
     """The source sees as many readers as there are domains, also after a herd."""
 
