--- a/tools/measure.py
+++ b/tools/measure.py
@@ -166,7 +166,7 @@
             marker="o",
             label=variant,
         )
-    left.set(xlabel="nodes", ylabel="ms", title="Change in force everywhere, p99")
+    left.set(xlabel="nodes", ylabel="ms", title="Change in force everywhere, slowest")
     right.set(xlabel="nodes", ylabel="bytes/s", title="Control bytes per node at rest")
     for axes in (left, right):
         axes.set_ylim(bottom=0)
