--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -163,7 +163,15 @@
         f"VM list at {NODES}: {moved} B a change of one domain, {size} B whole. "
         f"Measured at {nodes[0]} to {nodes[-1]} nodes; {NODES} is extrapolated."
     )
-    header = ("role", "control B/s", "", "core %", "", "MB", "")
+    header = (
+        "role",
+        "control B/s",
+        "against 9 KB/s",
+        "core %",
+        "against 4.1 %",
+        "MB",
+        "against 128 MB",
+    )
     return make_table(header, table) + "\n\n" + notes
 
 
--- a/tools/cost.py
+++ b/tools/cost.py
@@ -170,7 +170,7 @@
     """Measure all, and write the figures as JSON."""
     arguments = parse_arguments(argv)
     content = {
-        "run": {**describe_run(), "command": "python -m tools.cost"},
+        "run": describe_run("tools.cost"),
         "lists": [measure_list(count) for count in (100, 200, 400, 810)],
         "configs": [measure_config(count) for count in (10, 50, 100, 200)],
         "decisions": measure_decisions(),
--- a/tools/load.py
+++ b/tools/load.py
@@ -162,7 +162,7 @@
 def main(argv=None):
     """Measure all, and write the figures as JSON."""
     arguments = parse_arguments(argv)
-    content = {"run": describe_run()}
+    content = {"run": describe_run("tools.load")}
     with make_fleet(2, ("counter-desk", "pickup-board"), 1.0) as fleet:
         content["added"] = measure_added(fleet)
     with make_fleet(1, ("counter-desk",), 100.0) as fleet:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -125,8 +125,8 @@
     return result
 
 
-def describe_run():
-    """Return machine, date and revision of a run."""
+def describe_run(module="tools.measure"):
+    """Return command, machine, date and revision of a run of a module."""
     revision = subprocess.run(
         ["git", "rev-parse", "--short", "HEAD"],
         cwd=ROOT,
@@ -139,7 +139,7 @@
         "python": platform.python_version(),
         "date": datetime.now(timezone.utc).date().isoformat(),
         "revision": revision,
-        "command": " ".join(["python -m tools.measure", *sys.argv[1:]]),
+        "command": " ".join([f"python -m {module}", *sys.argv[1:]]),
     }
 
 
