Keep a key barred when the work that was being cleared gives up

Cause: work whose clearing timed out dropped its key's record, also when a peer or a caller's question had barred the key meanwhile, so a delayed copy could run after the word that it had not. Found by reading; the test failed first (the bar was gone). Ruled out: a check in the timer alone, as every caller of forget must keep bars. Also: a method that nothing called and a doubled bound are gone. Conclusion: only the end of its memory ends a bar.

--- a/balsamdeal/core/outcomes.py
+++ b/balsamdeal/core/outcomes.py
@@ -202,9 +202,17 @@
         return received_s <= record.noted_s + policy.clock_skew_s
 
     def forget(self, key):
-        """Drop a key whose outcome stays unknown; return the work that waits."""
-        record = self._drop(key)
-        return record.waiters if record else []
+        """Drop a key whose outcome stays unknown; return the work that waits.
+
+        A key that was barred meanwhile stays barred: whoever barred it counts on it.
+        """
+        record = self.records.get(key)
+        if record is None:
+            return []
+        waiters, record.waiters = record.waiters, []
+        if record.state not in (BARRED, NEVER):
+            self._drop(key)
+        return waiters
 
 
 def list_inquiries(membership, key, service, in_doubt, now_s, wall_s, policy):
--- a/balsamdeal/core/routing.py
+++ b/balsamdeal/core/routing.py
@@ -63,7 +63,7 @@
         """Learn from a whole answer."""
         stats = self.get_stats(vm_name)
         stats.failures = 0
-        stats.ejections = max(0, stats.ejections - 1) if stats.ejections else 0
+        stats.ejections = max(0, stats.ejections - 1)
         if stats.latency_s == 0.0:
             stats.latency_s = latency_s
         else:
--- a/balsamdeal/core/work.py
+++ b/balsamdeal/core/work.py
@@ -409,10 +409,3 @@
     def is_idle(self):
         """Return whether no work is queued or running."""
         return not self.jobs
-
-    def count_states(self):
-        """Return the number of jobs by state."""
-        counts = {}
-        for job in self.jobs.values():
-            counts[job.state] = counts.get(job.state, 0) + 1
-        return counts
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -4,7 +4,7 @@
 
 from balsamdeal.core import events, outcomes
 from balsamdeal.core.admission import QUEUE_PER_SLOT
-from balsamdeal.core.membership import rank
+from balsamdeal.core.membership import compute_score, rank
 from balsamdeal.core.outcomes import scope_key
 from balsamdeal.core.replies import Reply
 from balsamdeal.documents import build_document
@@ -372,6 +372,23 @@
         self.assertEqual([effect.work_id for effect in ended], ["w1"])
         self.assertNotIn("w1", node.work.jobs)
 
+    def test_bar_outlives_work_that_gives_up_while_it_is_cleared(self):
+        for asker, state in (("", outcomes.NEVER), ("vm-2", outcomes.BARRED)):
+            memory = outcomes.Outcomes("vm-1")
+            key = next(
+                f"members/{number}"
+                for number in range(100)
+                if compute_score(f"members/{number}", "vm-2")
+                > compute_score(f"members/{number}", "vm-1")
+            )
+            memory.begin(key, outcomes.CLEARING, 0.0)
+            memory.records[key].waiters.append("w1")
+            self.assertEqual(memory.answer_inquiry(key, asker, 0.0), outcomes.ABSENT)
+            self.assertEqual(memory.forget(key), ["w1"])
+            self.assertIn(key, memory.records, "the bar was dropped")
+            self.assertEqual(memory.records[key].state, state)
+            self.assertEqual(memory.records[key].waiters, [])
+
     def test_full_memory_refuses_new_keys_and_drops_no_young_one(self):
         fabric = start_settled(1)
         address = next(iter(fabric.vms))
