--- /dev/null
+++ b/balsamdeal/core/calls.py
@@ -0,0 +1,342 @@
+"""Requests at the node that their caller reached: one route, attempts, one answer.
+
+Work that may not be repeated goes to a second target only where the first provably
+did not begin it. Repeats of other work draw on a budget.
+"""
+
+from dataclasses import dataclass, field
+
+from balsamdeal.core.retries import RetryBudget
+from balsamdeal.core.routes import WeightedChoice
+from balsamdeal.core.traffic import (
+    ANSWERED,
+    NOT_RUN,
+    CancelAttempt,
+    Decision,
+    DropCall,
+    RefuseCall,
+    RelayAnswer,
+    SendAttempt,
+    SetTimer,
+)
+
+CALL_TIMER = "call"
+# How much longer than the target's node a caller's node waits for the end of time.
+TIMEOUT_SLACK_S = 0.06
+# Nodes asked for one call at most; each that refuses costs the caller a round trip.
+MAX_ASKED = 3
+# When a caller comes back to a node that has no configuration or reaches no target.
+NO_CONFIGURATION_RETRY_S = 0.5
+NO_TARGET_RETRY_S = 0.4
+# A repeat must have at least this long left to be worth sending.
+MIN_REPEAT_S = 0.05
+# Share of a service's requests that this node's repeats may add. Targets' own calls
+# are repeated along, so it stays below what operators allow in all.
+REPEAT_SHARE = 0.08
+
+
+@dataclass(slots=True)
+class Call:
+    """A caller's request without an answer; it keeps the route that it began on."""
+
+    event: object
+    route: object
+    service: str
+    deadline_s: float
+    objective_at_s: float
+    elapsed_s: float
+    inner: bool
+    asked: set = field(default_factory=set)
+    reached: int = 0
+    attempt_id: int | None = None
+    target: object = None
+    retry_after_s: float | None = None
+    last_reason: str = ""
+    last_failed_attempt: int | None = None
+    may_have_run: bool = False
+
+
+class Calls:
+    """Calls without an answer; changed in place.
+
+    :param placement: the ``Placement`` that chooses targets.
+    :param random: the seeded generator of the reducer.
+    """
+
+    def __init__(self, placement, random):
+        self.placement = placement
+        self.random = random
+        self.configuration = None
+        self.own_node = placement.own_node
+        self.calls = {}
+        self.attempts = {}
+        self.budgets = {}
+        self.longest_s = {}
+        self._shares = WeightedChoice()
+        self._next_attempt = 0
+
+    def receive(self, event):
+        """Route a call and send its first attempt."""
+        if self.configuration is None:
+            return self._refuse_new(
+                event, 503, "no configuration yet", NO_CONFIGURATION_RETRY_S
+            )
+        route = self.configuration.match(event.host, event.path)
+        if route is None:
+            return self._refuse_new(event, 404, "no route", None)
+        left_s = route.timeout_s
+        if event.time_left_s is not None:
+            left_s = min(left_s, event.time_left_s)
+        elapsed_s = self._estimate_elapsed_s(route, event.time_left_s)
+        call = Call(
+            event,
+            route,
+            self._shares.choose(route),
+            event.now_s + left_s,
+            event.now_s + route.objective_s - elapsed_s,
+            elapsed_s,
+            False,
+        )
+        self.calls[event.call_id] = call
+        self._get_budget(call.service).note_request(event.now_s)
+        timer = SetTimer(CALL_TIMER, event.call_id, call.deadline_s + TIMEOUT_SLACK_S)
+        return [timer, *self._send(call, event.now_s)]
+
+    def _estimate_elapsed_s(self, route, time_left_s):
+        """Return how long a caller has been trying.
+
+        Callers of a route give the same time at their first attempt, so one that
+        gives less has spent the difference.
+        """
+        if time_left_s is None:
+            return 0.0
+        longest_s = self.longest_s.get(route.prefix, 0.0)
+        if time_left_s >= longest_s:
+            self.longest_s[route.prefix] = time_left_s
+            return 0.0
+        return longest_s - time_left_s
+
+    def _get_budget(self, service):
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = self.budgets[service] = RetryBudget(REPEAT_SHARE)
+        return budget
+
+    def _refuse_new(self, event, status, reason, retry_after_s):
+        version = self.configuration.version if self.configuration else None
+        decision = Decision(
+            "call refused",
+            {
+                "request": event.request_id,
+                "status": status,
+                "reason": reason,
+                "host": event.host,
+                "version": version,
+            },
+        )
+        return [decision, RefuseCall(event.call_id, status, reason, retry_after_s)]
+
+    # Attempts
+
+    def _send(self, call, now_s):
+        target = None
+        if len(call.asked) < MAX_ASKED:
+            target = self.placement.choose(
+                call.service, call.asked, call.objective_at_s - now_s, now_s
+            )
+        if target is None:
+            return self._give_up(call, now_s)
+        self._next_attempt += 1
+        call.attempt_id = self._next_attempt
+        call.target = target
+        call.asked.add(target.identity)
+        self.attempts[call.attempt_id] = call
+        self.placement.note_sent(target, now_s)
+        return [
+            SendAttempt(
+                call.attempt_id,
+                call.event.call_id,
+                target.node_address,
+                target.node_address == self.own_node,
+                target.instance,
+                call.service,
+                call.route.idempotent,
+                call.route.rank,
+                call.inner,
+                max(0.0, call.deadline_s - now_s),
+                call.objective_at_s - now_s,
+                call.elapsed_s,
+            )
+        ]
+
+    def _end_attempt(self, attempt_id):
+        call = self.attempts.pop(attempt_id, None)
+        if call is None:
+            return None, None
+        target = call.target
+        call.attempt_id = None
+        call.target = None
+        self.placement.note_ended(target)
+        return call, target
+
+    def take_reply(self, event):
+        """Answer the caller, or try again where that is allowed."""
+        call, target = self._end_attempt(event.attempt_id)
+        if call is None:
+            return []
+        reply = event.reply
+        now_s = event.now_s
+        if reply.load is not None:
+            self.placement.note_load(target, reply.load, now_s)
+        call.reached += reply.reached
+        call.last_reason = f"{target.instance}: {reply.reason}"
+        if reply.outcome == ANSWERED:
+            return self._take_answer(call, target, event, now_s)
+        result = []
+        if reply.reached:
+            result += self._note_result(call, target, True, now_s)
+        elif reply.retry_after_s == 0.0 or reply.reason == "connect":
+            self.placement.note_unreachable(target, now_s)
+        if reply.outcome == NOT_RUN:
+            self._note_return(call, reply.retry_after_s)
+            if not reply.reached or self._may_repeat(call, now_s):
+                return result + self._send(call, now_s)
+            return result + self._give_up(call, now_s)
+        call.may_have_run = True
+        if call.route.idempotent and self._may_repeat(call, now_s):
+            return result + self._send(call, now_s)
+        return result + self._give_up(call, now_s)
+
+    def _note_return(self, call, retry_after_s):
+        known_s = call.retry_after_s
+        if known_s is None or retry_after_s < known_s:
+            call.retry_after_s = retry_after_s
+
+    def _note_result(self, call, target, failed, now_s):
+        if not self.placement.note_result(target, failed, now_s):
+            return []
+        fields = {
+            "request": call.event.request_id,
+            "instance": target.instance,
+            "service": target.service,
+        }
+        return [Decision("target ejected", fields)]
+
+    def _take_answer(self, call, target, event, now_s):
+        failed = event.reply.failed
+        result = self._note_result(call, target, failed, now_s)
+        if failed and call.route.idempotent and self._may_repeat(call, now_s):
+            # The failure is kept for the caller in case no repeat does better.
+            call.last_failed_attempt = event.attempt_id
+            return result + self._send(call, now_s)
+        self.calls.pop(call.event.call_id, None)
+        result.append(
+            Decision(
+                "call answered",
+                {
+                    "request": call.event.request_id,
+                    "route": call.route.name,
+                    "version": self.configuration.version,
+                    "instance": target.instance,
+                    "asked": len(call.asked),
+                    "failed": failed,
+                    "ms": round((now_s - call.event.now_s) * 1000),
+                },
+                routine=not failed,
+            )
+        )
+        result.append(RelayAnswer(call.event.call_id, event.attempt_id))
+        return result
+
+    def _may_repeat(self, call, now_s):
+        if call.reached >= call.route.max_attempts:
+            return False
+        if call.deadline_s - now_s < MIN_REPEAT_S:
+            return False
+        return self._get_budget(call.service).spend(now_s)
+
+    def take_failure(self, event):
+        """Try again, or tell the caller what is known."""
+        call, target = self._end_attempt(event.attempt_id)
+        if call is None:
+            return []
+        now_s = event.now_s
+        call.last_reason = f"{target.node_address}: {event.step}"
+        if not event.sent:
+            self.placement.note_unreachable(target, now_s)
+            self._note_return(call, NO_TARGET_RETRY_S)
+            return self._send(call, now_s)
+        self.placement.note_unreachable(target, now_s)
+        call.reached += 1
+        call.may_have_run = True
+        if call.route.idempotent and self._may_repeat(call, now_s):
+            return self._send(call, now_s)
+        return self._give_up(call, now_s)
+
+    # Ends
+
+    def _give_up(self, call, now_s):
+        """Give the final answer at once: an own one, or a failure that came before."""
+        call_id = call.event.call_id
+        self.calls.pop(call_id, None)
+        if call.last_failed_attempt is not None:
+            return [RelayAnswer(call_id, call.last_failed_attempt)]
+        if call.may_have_run:
+            return self._end(call, 502, "target gave no answer", None, now_s)
+        retry_after_s = call.retry_after_s
+        if not retry_after_s:
+            retry_after_s = NO_TARGET_RETRY_S
+        retry_after_s *= self.random.uniform(0.9, 1.3)
+        reason = "no room" if call.asked else "no target"
+        return self._end(call, 503, reason, retry_after_s, now_s)
+
+    def _end(self, call, status, reason, retry_after_s, now_s):
+        fields = {
+            "request": call.event.request_id,
+            "route": call.route.name,
+            "version": self.configuration.version,
+            "status": status,
+            "reason": reason,
+            "last": call.last_reason,
+            "asked": len(call.asked),
+            "reached": call.reached,
+            "list_age_s": round(now_s - (self.placement.targets.changed_s or now_s), 1),
+            "retry_after_s": None if retry_after_s is None else round(retry_after_s, 2),
+            "ms": round((now_s - call.event.now_s) * 1000),
+        }
+        refusal = RefuseCall(call.event.call_id, status, reason, retry_after_s)
+        return [Decision("call failed", fields), refusal]
+
+    def leave(self, event):
+        """Forget a call whose caller has left, and break off its attempt."""
+        call = self.calls.pop(event.call_id, None)
+        if call is None:
+            return []
+        result = [DropCall(event.call_id)]
+        fields = {
+            "request": call.event.request_id,
+            "ms": round((event.now_s - call.event.now_s) * 1000),
+        }
+        result.append(Decision("caller left", fields, routine=True))
+        return result + self._cancel(call)
+
+    def _cancel(self, call):
+        if call.attempt_id is None:
+            return []
+        attempt_id = call.attempt_id
+        self._end_attempt(attempt_id)
+        return [CancelAttempt(attempt_id)]
+
+    def time_out(self, event):
+        """Answer a call whose time is over."""
+        call = self.calls.pop(event.subject, None)
+        if call is None:
+            return []
+        target = call.target
+        if target is not None:
+            call.last_reason = f"{target.instance}: no reply in time"
+        result = self._cancel(call)
+        if call.last_failed_attempt is not None:
+            result.append(RelayAnswer(event.subject, call.last_failed_attempt))
+            return result
+        return result + self._end(call, 504, "time is over", None, event.now_s)
--- /dev/null
+++ b/balsamdeal/core/placement.py
@@ -0,0 +1,205 @@
+"""Where work goes: the own failure domain while it serves in time, others after that.
+
+Answers the pattern of uneven domains: each has callers of its own, but not the share
+of targets that they need, and crossing between domains is dear. A node compares how
+long work would take at each target by what the targets' nodes report with every reply
+and by what it has sent itself since. It crosses only where the nearest target would
+be late and a farther one would not.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+# A report older than this is believed less and less: queues turn over within it.
+REPORT_HALF_LIFE_S = 0.5
+# Taken for the length of a run before a target has reported one.
+DEFAULT_WORK_S = 0.15
+# Share of the objective up to which the own domain is kept to. The rest covers the
+# tail of service times.
+NEAR_OBJECTIVE_SHARE = 0.75
+# A farther target must be faster by this share of the objective to be worth a
+# crossing: keeps work from moving on small differences.
+CROSSING_MARGIN_SHARE = 0.2
+# The shortest time a target is left out after a failure to reach it, and the longest.
+UNREACHABLE_BASE_S = 0.4
+UNREACHABLE_MAX_S = 3.0
+# A target is ejected when this share of its recent answers are failures and its
+# service as a whole does at most half as badly.
+EJECTION_SHARE = 0.3
+EJECTION_S = 2.0
+# Failures are weighed over about this many answers.
+FAILURE_GAIN = 0.1
+# At most this share of a service's targets may be ejected at a time.
+MAX_EJECTED_SHARE = 0.4
+# Load below this share of a limit costs no wait; the own node is preferred up to it.
+OWN_LOAD_SHARE = 0.7
+
+
+@dataclass(slots=True)
+class TargetView:
+    """What this node knows of one target; times in seconds of the loop."""
+
+    load: object = None
+    load_s: float = -math.inf
+    in_flight: int = 0
+    sent_since: float = 0.0
+    failure_share: float = 0.0
+    unreachable_count: int = 0
+    out_until_s: float = -math.inf
+    stopping_until_s: float = -math.inf
+    last_sent_s: float = -math.inf
+    seen: set = field(default_factory=set)
+
+
+class Placement:
+    """Chooses targets by their estimated time to answer; changed in place.
+
+    :param targets: the ``TargetList``.
+    :param own_domain: the failure domain of this node.
+    :param own_node: the address of this node as other nodes reach it.
+    :param random: the seeded generator of the reducer.
+    """
+
+    def __init__(self, targets, own_domain, own_node, random):
+        self.targets = targets
+        self.own_domain = own_domain
+        self.own_node = own_node
+        self.random = random
+        self.views = {}
+
+    def get_view(self, target):
+        """Return what is known of a target, made on first use."""
+        view = self.views.get(target.identity)
+        if view is None:
+            view = self.views[target.identity] = TargetView()
+        return view
+
+    def forget_absent(self):
+        """Drop what is known of targets that are no longer listed."""
+        known = {target.identity for target in self.targets.targets.values()}
+        for identity in [item for item in self.views if item not in known]:
+            if not self.views[identity].in_flight:
+                del self.views[identity]
+
+    def note_sent(self, target, now_s):
+        """Count an attempt."""
+        view = self.get_view(target)
+        view.in_flight += 1
+        view.sent_since += 1
+        view.last_sent_s = now_s
+
+    def note_ended(self, target):
+        """Count an attempt out, whatever its end."""
+        view = self.get_view(target)
+        view.in_flight = max(0, view.in_flight - 1)
+
+    def note_load(self, target, load, now_s):
+        """Learn from the load that a target's node reported."""
+        view = self.get_view(target)
+        view.load = load
+        view.load_s = now_s
+        view.sent_since = 0.0
+        view.unreachable_count = 0
+        if load.stopping:
+            view.stopping_until_s = now_s + UNREACHABLE_MAX_S
+
+    def note_result(self, target, failed, now_s):
+        """Learn whether a target's answer was good; return whether it is ejected."""
+        view = self.get_view(target)
+        view.failure_share += FAILURE_GAIN * (float(failed) - view.failure_share)
+        if not failed or view.failure_share < EJECTION_SHARE:
+            return False
+        if now_s < view.out_until_s:
+            return False
+        peers = self.targets.list_service(target.service)
+        shares = [self.get_view(peer).failure_share for peer in peers]
+        out = sum(now_s < self.get_view(peer).out_until_s for peer in peers)
+        if out + 1 > len(peers) * MAX_EJECTED_SHARE:
+            return False
+        if sorted(shares)[len(shares) // 2] > view.failure_share / 2:
+            return False
+        view.out_until_s = now_s + EJECTION_S
+        # It is taken back on probation: another failure soon ejects it again.
+        view.failure_share = EJECTION_SHARE * 0.75
+        return True
+
+    def note_unreachable(self, target, now_s):
+        """Leave a target out for a while, longer each time in a row."""
+        view = self.get_view(target)
+        delay_s = UNREACHABLE_BASE_S * 2**view.unreachable_count
+        view.unreachable_count = min(view.unreachable_count + 1, 8)
+        delay_s = min(delay_s, UNREACHABLE_MAX_S) * self.random.uniform(0.75, 1.25)
+        view.out_until_s = max(view.out_until_s, now_s + delay_s)
+
+    def estimate_s(self, target, now_s):
+        """Return how long work sent now is expected to take at a target."""
+        view = self.get_view(target)
+        load = view.load
+        if load is None:
+            work_s, limit, present = DEFAULT_WORK_S, target.slots, 0.0
+        else:
+            work_s, limit = load.work_s, max(1, load.limit)
+            age = (now_s - view.load_s) / REPORT_HALF_LIFE_S
+            present = (load.busy + load.queued) * math.exp2(-age)
+        present = max(present + view.sent_since, view.in_flight)
+        over = max(0.0, present + 1 - limit)
+        # Among targets with room the emptier one is a little better.
+        spread = 0.1 * min(1.0, present / limit)
+        return work_s * (1.0 + spread + over / limit)
+
+    def choose(self, service, excluded, objective_left_s, now_s):
+        """Return the target for a piece of work, or None.
+
+        :param service: the service to reach.
+        :param excluded: identities of targets that were asked already.
+        :param objective_left_s: the time in which the answer is still in time.
+        :param now_s: the loop's time in seconds.
+        """
+        usable = self._list_usable(service, excluded, now_s)
+        near = [item for item in usable if item.failure_domain == self.own_domain]
+        far = [item for item in usable if item.failure_domain != self.own_domain]
+        best, best_s = self._pick(near, now_s, True)
+        if best is None:
+            return self._pick(far, now_s, False)[0]
+        if not far or best_s <= NEAR_OBJECTIVE_SHARE * objective_left_s:
+            return best
+        other, other_s = self._pick(far, now_s, False)
+        margin_s = CROSSING_MARGIN_SHARE * max(objective_left_s, DEFAULT_WORK_S)
+        return other if other_s + margin_s < best_s else best
+
+    def _list_usable(self, service, excluded, now_s):
+        listed = [
+            target
+            for target in self.targets.list_service(service)
+            if target.identity not in excluded and not target.leaving
+        ]
+        sound = [
+            target
+            for target in listed
+            if now_s >= self.get_view(target).out_until_s
+            and now_s >= self.get_view(target).stopping_until_s
+        ]
+        if sound:
+            return sound
+        # Better an uncertain target than none, but not one that is ending.
+        return [
+            item for item in listed if now_s >= self.get_view(item).stopping_until_s
+        ]
+
+    def _pick(self, candidates, now_s, prefer_own):
+        if not candidates:
+            return None, math.inf
+        rated = []
+        for target in candidates:
+            estimate_s = self.estimate_s(target, now_s)
+            if prefer_own and target.node_address == self.own_node:
+                view = self.get_view(target)
+                limit = view.load.limit if view.load else target.slots
+                if view.load and view.load.busy < OWN_LOAD_SHARE * limit:
+                    return target, estimate_s
+            rated.append((estimate_s, self.random.random(), target))
+        if len(rated) > 3:
+            # A herd on the one that looks best is avoided by two random choices.
+            rated = self.random.sample(rated, max(2, len(rated) // 2))
+        estimate_s, _, best = min(rated, key=lambda item: item[:2])
+        return best, estimate_s
--- /dev/null
+++ b/balsamdeal/core/proxy.py
@@ -0,0 +1,93 @@
+"""The request path of a node: one reducer over all its events.
+
+It composes the caller's side and the target's side. The configuration and the list
+of targets are state that the shell replaces through ``apply_configuration`` and the
+methods of ``TargetList``.
+"""
+
+from random import Random
+
+from balsamdeal.core import calls, serving, traffic
+from balsamdeal.core.calls import Calls
+from balsamdeal.core.placement import Placement
+from balsamdeal.core.serving import Serving
+from balsamdeal.core.targets import TargetList
+
+
+class Proxy:
+    """State of the request path.
+
+    :param own_node: the address of this node as other nodes reach it.
+    :param own_domain: the failure domain of this node.
+    :param seed: the seed of all random choices.
+    """
+
+    def __init__(self, own_node, own_domain, seed):
+        random = Random(seed)
+        self.targets = TargetList()
+        self.placement = Placement(self.targets, own_domain, own_node, random)
+        self.calls = Calls(self.placement, random)
+        self.serving = Serving(self.targets, own_node)
+        self._reducers = {
+            traffic.CallReceived: self.calls.receive,
+            traffic.CallerLeft: self.calls.leave,
+            traffic.AttemptReplied: self.calls.take_reply,
+            traffic.AttemptFailed: self.calls.take_failure,
+            traffic.WorkReceived: self.serving.receive,
+            traffic.WorkAbandoned: self.serving.abandon,
+            traffic.TargetReplied: self.serving.take_reply,
+            traffic.TargetFailed: self.serving.take_failure,
+            traffic.TimerFired: self._fire_timer,
+            traffic.StopRequested: self._stop,
+        }
+        self._timers = {
+            calls.CALL_TIMER: self.calls.time_out,
+            serving.WORK_TIMER: self.serving.time_out,
+        }
+
+    @classmethod
+    def from_config(cls, settings):
+        """Return the request path that the settings describe.
+
+        :param settings: a ``net.proxying.ProxySettings``.
+        """
+        return cls(settings.node_address, settings.failure_domain, settings.seed)
+
+    def reduce(self, event):
+        """Return the effects of an event.
+
+        :param event: one of ``traffic``'s; its time never runs backwards.
+        """
+        return self._reducers[type(event)](event)
+
+    def _fire_timer(self, event):
+        return self._timers[event.kind](event)
+
+    def _stop(self, event):
+        self.serving.stopping = True
+        return [traffic.Decision("stopping", {"calls": len(self.calls.calls)})]
+
+    def apply_configuration(self, configuration):
+        """Put a configuration in force; return whether it is newer than the last.
+
+        :param configuration: a whole ``routes.Configuration``.
+        """
+        known = self.calls.configuration
+        if known is not None and configuration.version <= known.version:
+            return False
+        self.calls.configuration = configuration
+        return True
+
+    def note_targets(self):
+        """Take up a change of the list of targets."""
+        self.placement.forget_absent()
+        self.serving.refresh_limit()
+
+    def is_ready(self):
+        """Return whether callers are served."""
+        known = self.calls.configuration is not None
+        return known and self.targets.changed_s is not None
+
+    def is_idle(self):
+        """Return whether no call and no work is without an answer."""
+        return not self.calls.calls and self.serving.queue.is_idle()
--- a/balsamdeal/core/retries.py
+++ b/balsamdeal/core/retries.py
@@ -8,9 +8,13 @@
 
 
 class RetryBudget:
-    """Decaying counts of requests and extra attempts of one service."""
+    """Decaying counts of requests and extra attempts of one service.
 
-    def __init__(self):
+    :param share: extra attempts allowed for each request.
+    """
+
+    def __init__(self, share=BUDGET_SHARE):
+        self.share = share
         self.requests = 0.0
         self.extra = 0.0
         self._updated_s = None
@@ -30,7 +34,7 @@
     def spend(self, now_s):
         """Take one extra attempt out of the budget; return whether there was one."""
         self._decay(now_s)
-        if self.extra + 1 > FREE_RETRIES + self.requests * BUDGET_SHARE:
+        if self.extra + 1 > FREE_RETRIES + self.requests * self.share:
             return False
         self.extra += 1
         return True
--- /dev/null
+++ b/balsamdeal/core/serving.py
@@ -0,0 +1,194 @@
+"""Work at the node in front of a target: admission, one run, one truthful reply.
+
+A reply says "not run" only where no byte of the work was written to the target, or
+where the target itself says that it ran nothing.
+"""
+
+from balsamdeal.core.traffic import (
+    ANSWERED,
+    NOT_RUN,
+    UNKNOWN,
+    CancelWork,
+    Decision,
+    NodeLoad,
+    ReplyWork,
+    RunWork,
+    SetTimer,
+    WorkReply,
+)
+from balsamdeal.core.waiting import Queue
+
+WORK_TIMER = "work"
+# A run that its target has not ended by its time is broken off this much later.
+TIMEOUT_SLACK_S = 0.02
+# Slots of a target whose entry is not known yet.
+DEFAULT_SLOTS = 8
+# When work that a target declined or could not be reached for is asked back.
+UNREACHABLE_RETRY_S = 0.3
+
+
+class Serving:
+    """Work of the own target; changed in place.
+
+    :param targets: the ``TargetList``.
+    :param own_node: the address of this node as other nodes reach it.
+    """
+
+    def __init__(self, targets, own_node):
+        self.targets = targets
+        self.own_node = own_node
+        self.queue = Queue(DEFAULT_SLOTS)
+        self.stopping = False
+        self.refusing = False
+
+    def find_own(self, instance=None):
+        """Return the own target's entry, or None."""
+        for target in self.targets.targets.values():
+            if target.node_address == self.own_node:
+                if instance is None or target.instance == instance:
+                    return target
+        return None
+
+    def refresh_limit(self):
+        """Take the number of slots that the own target publishes."""
+        listed = [
+            target
+            for target in self.targets.targets.values()
+            if target.node_address == self.own_node
+        ]
+        if listed:
+            newest = max(listed, key=lambda target: target.revision)
+            self.queue.set_limit(newest.slots)
+
+    def make_load(self):
+        """Return the ``NodeLoad`` that goes with each reply."""
+        queue = self.queue
+        return NodeLoad(
+            len(queue.running),
+            len(queue.waiting),
+            queue.limit,
+            queue.get_work_s(),
+            queue.estimate_wait_s(len(queue.waiting)),
+            self.stopping,
+        )
+
+    def receive(self, event):
+        """Run, queue or refuse work."""
+        if self.refusing:
+            return self._refuse(event, "node is stopping", 0.0)
+        waiter, wait_s = self.queue.admit(event)
+        if waiter is None:
+            return self._refuse(event, "queue would outlast its time", wait_s)
+        timer = SetTimer(WORK_TIMER, event.work_id, waiter.deadline_s + TIMEOUT_SLACK_S)
+        if event.work_id in self.queue.waiting:
+            return [timer]
+        return [timer, self._start(waiter, event.now_s)]
+
+    def _start(self, waiter, now_s):
+        self.queue.start(waiter, now_s)
+        event = waiter.event
+        return RunWork(
+            event.work_id,
+            event.instance,
+            event.idempotent,
+            max(0.0, waiter.deadline_s - now_s),
+        )
+
+    def _refuse(self, event, reason, retry_after_s):
+        load = self.make_load()
+        decision = Decision(
+            "work refused",
+            {
+                "request": event.request_id,
+                "reason": reason,
+                "busy": load.busy,
+                "queued": load.queued,
+                "limit": load.limit,
+                "work_ms": round(load.work_s * 1000),
+                "objective_left_ms": round(event.objective_left_s * 1000),
+                "time_left_ms": round(event.time_left_s * 1000),
+                "retry_after_s": round(retry_after_s, 2),
+            },
+        )
+        reply = WorkReply(NOT_RUN, False, reason, retry_after_s, load=load)
+        return [decision, ReplyWork(event.work_id, reply)]
+
+    def _reply(self, work_id, outcome, reached, reason, **details):
+        reply = WorkReply(outcome, reached, reason, load=self.make_load(), **details)
+        return ReplyWork(work_id, reply)
+
+    def _start_next(self, now_s):
+        result = []
+        while True:
+            waiter, hopeless = self.queue.take_next(now_s)
+            for other in hopeless:
+                result += self._refuse(other.event, "its time is nearly over", 0.0)
+            if waiter is None:
+                return result
+            result.append(self._start(waiter, now_s))
+
+    def abandon(self, event):
+        """Forget work whose sender has left, and break off its run."""
+        if self.queue.leave(event.work_id) is not None:
+            return []
+        if self.queue.end(event.work_id, event.now_s, False) is None:
+            return []
+        return [CancelWork(event.work_id), *self._start_next(event.now_s)]
+
+    def take_reply(self, event):
+        """Pass the target's whole answer on."""
+        waiter = self.queue.end(event.work_id, event.now_s, not event.declined)
+        if waiter is None:
+            return []
+        if event.misdirected:
+            reply = self._reply(
+                event.work_id, NOT_RUN, False, "another server has the address"
+            )
+        elif event.declined:
+            reply = self._reply(
+                event.work_id,
+                NOT_RUN,
+                True,
+                "target declined",
+                retry_after_s=UNREACHABLE_RETRY_S,
+            )
+        else:
+            reply = self._reply(
+                event.work_id, ANSWERED, True, "answered", failed=event.failed
+            )
+        return [reply, *self._start_next(event.now_s)]
+
+    def take_failure(self, event):
+        """Reply with what is known after the target gave no answer."""
+        waiter = self.queue.end(event.work_id, event.now_s, False)
+        if waiter is None:
+            return []
+        outcome = UNKNOWN if event.sent else NOT_RUN
+        decision = Decision(
+            "target gave no answer",
+            {
+                "request": waiter.event.request_id,
+                "instance": waiter.event.instance,
+                "step": event.step,
+                "outcome": outcome,
+                "ran_ms": round((event.now_s - waiter.started_s) * 1000),
+            },
+        )
+        reply = self._reply(
+            event.work_id,
+            outcome,
+            event.sent,
+            event.step,
+            retry_after_s=UNREACHABLE_RETRY_S,
+        )
+        return [decision, reply, *self._start_next(event.now_s)]
+
+    def time_out(self, event):
+        """End work whose time is over."""
+        waiter = self.queue.leave(event.subject)
+        if waiter is not None:
+            return self._refuse(waiter.event, "its time is over", 0.0)
+        if self.queue.end(event.subject, event.now_s, False) is None:
+            return []
+        reply = self._reply(event.subject, UNKNOWN, True, "time is over")
+        return [CancelWork(event.subject), reply, *self._start_next(event.now_s)]
--- /dev/null
+++ b/balsamdeal/core/waiting.py
@@ -0,0 +1,149 @@
+"""Who waits and who is refused at a target's node.
+
+Answers the pattern of a load above capacity for seconds or minutes. Work that the
+target cannot begin in time is refused on arrival, when nothing has been spent on it,
+with the time at which there will be room. Work that waits is ordered by urgency:
+calls of targets first, as their parents hold slots; then callers who were sent away
+once and came back; then by rank and arrival.
+"""
+
+import heapq
+import math
+from dataclasses import dataclass, field
+
+# A queue is left by work whose remaining time is below this share of a mean run.
+HOPELESS_SHARE = 0.5
+# Weight of the newest run in the mean length of a run.
+WORK_GAIN = 0.05
+# Taken for the length of a run before one has ended.
+DEFAULT_WORK_S = 0.15
+# Shortest and longest time after which a refused caller is asked back.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 2.0
+# A caller that has been trying for longer than this was refused before.
+RETURNED_AFTER_S = 0.04
+
+
+@dataclass(slots=True)
+class Waiter:
+    """Work at a target's node; ``started_s`` is None while it waits."""
+
+    event: object
+    deadline_s: float
+    started_s: float | None = None
+    cancelled: bool = False
+
+
+@dataclass(slots=True)
+class Queue:
+    """Running and waiting work of one target; changed in place.
+
+    :param limit: how many run at a time.
+    """
+
+    limit: int
+    running: dict = field(default_factory=dict)
+    waiting: dict = field(default_factory=dict)
+    work_s: float = 0.0
+    _heap: list = field(default_factory=list)
+    _arrivals: int = 0
+
+    def get_work_s(self):
+        """Return the mean length of a run in seconds."""
+        return self.work_s or DEFAULT_WORK_S
+
+    def estimate_wait_s(self, ahead):
+        """Return the wait of work that has ``ahead`` waiters before it."""
+        if len(self.running) + ahead < self.limit:
+            return 0.0
+        return (ahead + 1) * self.get_work_s() / max(1, self.limit)
+
+    def admit(self, event):
+        """Run, queue or refuse work.
+
+        :param event: ``WorkReceived``.
+        :return: a pair: the ``Waiter``, or None where it is refused, and the time
+            in seconds after which there will be room.
+        """
+        waiter = Waiter(event, event.now_s + event.time_left_s)
+        if len(self.running) < self.limit and not self.waiting:
+            return waiter, 0.0
+        order = self._rate(event)
+        ahead = sum(
+            1 for other in self.waiting.values() if self._precedes(other, order)
+        )
+        wait_s = self.estimate_wait_s(ahead)
+        if wait_s > self._get_patience_s(event):
+            return None, self._suggest_return_s()
+        self._arrivals += 1
+        self.waiting[event.work_id] = waiter
+        heapq.heappush(self._heap, (order, self._arrivals, event.work_id))
+        return waiter, wait_s
+
+    def _precedes(self, waiter, order):
+        return self._rate(waiter.event) <= order
+
+    @staticmethod
+    def _rate(event):
+        returned = event.elapsed_s > RETURNED_AFTER_S
+        return (not event.inner, event.rank, not returned)
+
+    def _get_patience_s(self, event):
+        """Return the longest wait that still serves the caller."""
+        work_s = self.get_work_s()
+        in_time_s = event.objective_left_s - work_s
+        if in_time_s > 0:
+            return in_time_s
+        # Its objective has passed: it may wait for a run within its time.
+        late_s = event.time_left_s - 2 * work_s
+        return min(late_s, 2 * work_s)
+
+    def _suggest_return_s(self):
+        """Return when there will be room for one more, in seconds."""
+        wait_s = self.estimate_wait_s(len(self.waiting)) + self.get_work_s() / 2
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+
+    def start(self, waiter, now_s):
+        """Count work as running."""
+        waiter.started_s = now_s
+        self.running[waiter.event.work_id] = waiter
+
+    def end(self, work_id, now_s, measured):
+        """Count running work out; return its ``Waiter`` or None.
+
+        :param measured: whether its length tells how long a run takes.
+        """
+        waiter = self.running.pop(work_id, None)
+        if waiter is not None and measured:
+            length_s = now_s - waiter.started_s
+            if self.work_s:
+                self.work_s += WORK_GAIN * (length_s - self.work_s)
+            else:
+                self.work_s = length_s
+        return waiter
+
+    def leave(self, work_id):
+        """Take waiting work out; return its ``Waiter`` or None."""
+        return self.waiting.pop(work_id, None)
+
+    def take_next(self, now_s):
+        """Return the next waiter to run, or None, and those given up on the way."""
+        hopeless = []
+        while self._heap and len(self.running) < self.limit:
+            _, _, work_id = heapq.heappop(self._heap)
+            waiter = self.waiting.pop(work_id, None)
+            if waiter is None:
+                continue
+            if waiter.deadline_s - now_s < HOPELESS_SHARE * self.get_work_s():
+                hopeless.append(waiter)
+                continue
+            return waiter, hopeless
+        return None, hopeless
+
+    def is_idle(self):
+        """Return whether nothing runs or waits."""
+        return not self.running and not self.waiting
+
+    def set_limit(self, limit):
+        """Change how many run at a time."""
+        self.limit = max(1, math.floor(limit))
--- a/balsamdeal/daemon.py
+++ b/balsamdeal/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import gc
 import logging
 import os
 import secrets
@@ -14,6 +13,7 @@
 from balsamdeal.errors import SettingsError
 from balsamdeal.net.servers import listen
 from balsamdeal.net.shell import Shell
+from balsamdeal.runtime import exempt_startup_objects
 from balsamdeal.settings import check_settings, collect_values, make_parser
 
 logger = logging.getLogger(__name__)
@@ -51,16 +51,6 @@
     await asyncio.sleep(LINGER_S)
 
 
-def exempt_startup_objects():
-    """Take what was made so far out of garbage collection.
-
-    Modules and models live as long as the process. A full collection that visits
-    them holds the loop for some 30 ms.
-    """
-    gc.collect()
-    gc.freeze()
-
-
 async def serve(settings):
     """Run the node until a signal; return the exit code.
 
--- a/balsamdeal/errors.py
+++ b/balsamdeal/errors.py
@@ -48,3 +48,7 @@
 
 class SourceError(BalsamdealError):
     """The configuration source or the VM list could not be read."""
+
+
+class HistoryLostError(SourceError):
+    """The source no longer has the changes since a revision; read all of it."""
--- a/balsamdeal/metrics.py
+++ b/balsamdeal/metrics.py
@@ -1,8 +1,6 @@
 """Counters and latency histograms, as JSON and in the Prometheus text format."""
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
 
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
@@ -19,8 +17,6 @@
     def __init__(self, counters):
         self.counters = counters
         self.latencies = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
 
     def count(self, name, amount=1):
         """Add to a counter."""
@@ -52,6 +48,8 @@
 
     def collect(self):
         """Yield metric families for the Prometheus client library."""
+        from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+
         for name, value in sorted(self.counters.items()):
             label = name.replace("-", "_")
             yield CounterMetricFamily(f"balsamdeal_{label}", label, value=value)
@@ -68,4 +66,9 @@
 
     def format_prometheus(self):
         """Return everything in the Prometheus text format, as bytes."""
-        return generate_latest(self._registry)
+        # Imported at first use: it lengthens the start of every node by 30 ms.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 import socket
 from dataclasses import dataclass
 
@@ -20,9 +21,25 @@
 IDLE_MAX_S = 30.0
 IDLE_MAX_ONCE_S = 3.0
 MAX_IDLE_PER_PEER = 16
+# Probes of an idle connection, in whole seconds, and how many may stay unanswered.
+KEEPALIVE_S = 1
+KEEPALIVE_COUNT = 3
+# How long sent bytes may stay unacknowledged: some round trips of lost packets.
+SILENCE_MS = 2500
+# A kept connection is left this much before its other end closes it, in seconds.
+IDLE_MARGIN_S = 1.0
+# Answers to other requests that are skipped before a connection is given up.
+MAX_FOREIGN_ANSWERS = 3
 LINE_OVERHEAD = 4  # bytes of ": " and CRLF around a header
 
 
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
+
+
+def _ignore_close():
+    """Take the end of an idle connection; the pool drops it when it is looked at."""
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """A whole response; ``size`` is the bytes sent and received for it."""
@@ -31,6 +48,7 @@
     headers: HTTPHeaders
     body: bytes
     size: int
+    reason: str = ""
 
 
 def measure_message(first_line, headers, body):
@@ -46,6 +64,15 @@
     return size
 
 
+class Stream(IOStream):
+    """A connection that tells whether bytes came that nobody asked for."""
+
+    @property
+    def has_unread(self):
+        """Whether bytes lie in the buffer of received data."""
+        return self._read_buffer_size > 0
+
+
 class _Collector(HTTPMessageDelegate):
     """Collects one response; ``finished`` only once its whole body has come."""
 
@@ -81,14 +108,37 @@
             self.stream.close()
 
 
+def detect_silence(connection):
+    """Have the kernel close a connection whose other end is silent for seconds.
+
+    :param connection: a TCP socket.
+    """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_COUNT),
+        (socket.TCP_USER_TIMEOUT, SILENCE_MS),
+    ):
+        connection.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
 class ConnectionPool:
     """Kept connections by address.
 
     :param max_body_bytes: the largest body accepted.
+    :param allow_unframed: whether an answer without a length, which ends with its
+        connection, is taken as whole if that was not reset.
+    :param idle_once_s: how long a connection may have been idle, in seconds, to
+        carry a request that is not idempotent.
     """
 
-    def __init__(self, max_body_bytes):
+    def __init__(
+        self, max_body_bytes, allow_unframed=False, idle_once_s=IDLE_MAX_ONCE_S
+    ):
         self._idle = {}
+        self._allow_unframed = allow_unframed
+        self._idle_once_s = idle_once_s
         self._parameters = HTTP1ConnectionParameters(
             max_body_size=max_body_bytes, header_timeout=None, body_timeout=None
         )
@@ -106,6 +156,7 @@
         new_connection=False,
         once=False,
         exchange=None,
+        is_own=None,
     ):
         """Return the whole response to one request.
 
@@ -119,6 +170,9 @@
         :param once: whether the request is not idempotent, so that a connection
             that may have gone silent is not worth a try.
         :param exchange: an ``Exchange`` that can cancel it.
+        :param is_own: a function of an answer's status and headers that tells
+            whether it belongs to this request. Others are skipped, and the
+            connection is then closed.
         :raises ExchangeError: when no whole response came.
         """
         exchange = exchange or Exchange()
@@ -131,7 +185,7 @@
             if exchange.cancelled:
                 stream.close()
             return await self._exchange(
-                stream, address, method, path, headers, body, exchange
+                stream, address, method, path, headers, body, exchange, is_own
             )
         finally:
             timer.cancel()
@@ -145,24 +199,31 @@
 
     def drop_idle(self, address):
         """Close the kept connections to an address."""
-        for stream, _ in self._idle.pop(address, []):
+        for stream, _, _ in self._idle.pop(address, []):
             stream.close()
 
     def _take_idle(self, address, new_connection, once):
         if new_connection:
             return None
         idle = self._idle.get(address)
-        limit_s = IDLE_MAX_ONCE_S if once else IDLE_MAX_S
+        now_s = self._loop.time()
         while idle:
-            stream, kept_s = idle.pop()
-            if not stream.closed() and self._loop.time() - kept_s <= limit_s:
+            stream, kept_s, until_s = idle[-1]
+            if stream.closed() or stream.has_unread or now_s > until_s:
+                idle.pop()
+                stream.close()
+            elif once and now_s - kept_s > self._idle_once_s:
+                return None
+            else:
+                idle.pop()
+                stream.set_close_callback(None)
                 return stream
-            stream.close()
         return None
 
     async def _connect(self, address, timeout_s, exchange):
         host, _, port = address.rpartition(":")
-        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        stream = Stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        detect_silence(stream.socket)
         exchange.stream = stream
         limit = self._loop.call_later(min(CONNECT_TIMEOUT_S, timeout_s), stream.close)
         try:
@@ -178,11 +239,14 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _exchange(self, stream, address, method, path, headers, body, exchange):
+    async def _exchange(
+        self, stream, address, method, path, headers, body, exchange, is_own
+    ):
         if stream.closed():
             raise ExchangeError("closed before writing", "connect", address, False)
         exchange.step = "read"
-        headers["Host"] = address
+        if "Host" not in headers:
+            headers["Host"] = address
         if body or method not in ("GET", "HEAD"):
             headers["Content-Length"] = str(len(body))
         connection = HTTP1Connection(stream, True, self._parameters)
@@ -192,37 +256,66 @@
             connection.write_headers(line, headers, body or None)
             connection.finish()
             await connection.read_response(collector)
+            foreign = 0
+            while is_own is not None and self._is_foreign(collector, is_own):
+                foreign += 1
+                if foreign > MAX_FOREIGN_ANSWERS:
+                    raise ValueError("answers belong to other requests")
+                collector = _Collector()
+                connection = HTTP1Connection(stream, True, self._parameters)
+                await connection.read_response(collector)
         except (StreamClosedError, OSError, ValueError) as error:
             stream.close()
             raise ExchangeError(str(error), exchange.step, address, True) from error
-        if not collector.finished or not self._is_whole(collector, method):
+        if not collector.finished or not self._is_whole(collector, method, stream):
             stream.close()
             raise ExchangeError("no whole answer", exchange.step, address, True)
         answer = b"".join(collector.chunks)
         status = collector.start_line.code
         size = measure_message(f"{method} {path} HTTP/1.1", headers, body)
         size += measure_message("HTTP/1.1 200 OK", collector.headers, answer)
-        if collector.headers.get("Connection", "").lower() == "close":
+        if collector.headers.get("Connection", "").lower() == "close" or foreign:
             stream.close()
-        self._keep(address, stream)
-        return Response(status, collector.headers, answer, size)
+        self._keep(address, stream, collector.headers)
+        reason = collector.start_line.reason
+        return Response(status, collector.headers, answer, size, reason)
 
     @staticmethod
-    def _is_whole(collector, method):
+    def _is_foreign(collector, is_own):
+        if not collector.finished:
+            return False
+        return not is_own(collector.start_line.code, collector.headers)
+
+    def _is_whole(self, collector, method, stream):
         """An answer that only a closed connection ends may be cut short."""
         if method == "HEAD" or collector.start_line.code in (204, 304):
             return True
         headers = collector.headers
-        return "Content-Length" in headers or "Transfer-Encoding" in headers
+        if "Content-Length" in headers or "Transfer-Encoding" in headers:
+            return True
+        return self._allow_unframed and stream.closed() and stream.error is None
 
-    def _keep(self, address, stream):
-        if stream.closed():
+    def _keep(self, address, stream, headers):
+        # Bytes after the answer, or an answer before the whole request was sent,
+        # leave the connection at an unknown place.
+        if stream.closed() or stream.has_unread or stream.writing():
+            stream.close()
             return
         idle = self._idle.setdefault(address, [])
-        idle.append((stream, self._loop.time()))
+        now_s = self._loop.time()
+        idle.append((stream, now_s, now_s + self._get_idle_s(headers)))
+        # Registers the stream for reading, so that its end is noticed.
+        stream.set_close_callback(_ignore_close)
         if len(idle) > MAX_IDLE_PER_PEER:
             idle.pop(0)[0].close()
 
+    @staticmethod
+    def _get_idle_s(headers):
+        match = KEEP_ALIVE_TIMEOUT.search(headers.get("Keep-Alive", ""))
+        if match is None:
+            return IDLE_MAX_S
+        return max(0.0, int(match[1]) - IDLE_MARGIN_S)
+
     def close(self):
         """Close all kept connections."""
         for address in list(self._idle):
--- a/balsamdeal/net/forwarding.py
+++ b/balsamdeal/net/forwarding.py
@@ -6,10 +6,8 @@
 import json
 import math
 from dataclasses import dataclass
-from http.client import responses
 
 from pydantic import ValidationError
-from tornado.httputil import ResponseStartLine
 
 from balsamdeal import models
 from balsamdeal.core import events
@@ -18,22 +16,13 @@
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net import wire
 from balsamdeal.net.connections import Exchange
+from balsamdeal.net.messages import Payload, make_headers, write_response
 
 WORK_PATH = "/work"
 OUTCOME_PATH = "/.well-known/balsamdeal/outcomes"
 ATTEMPT_MARGIN_S = 0.05
 
 
-@dataclass(slots=True)
-class Payload:
-    """What a caller sent, as it goes to the target."""
-
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-
-
 @dataclass(slots=True)
 class Call:
     """A caller's request that waits for its answer."""
@@ -51,14 +40,7 @@
     :param headers: ``HTTPHeaders``; the length is added.
     :param body: the body as bytes.
     """
-    connection = request.connection
-    if connection.stream is None or connection.stream.closed():
-        return
-    headers["Content-Length"] = str(len(body))
-    line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-    chunk = None if request.method == "HEAD" else body
-    connection.write_headers(line, headers, chunk or None)
-    connection.finish()
+    write_response(request.connection, request.method, status, headers, body)
 
 
 class Forwarding:
@@ -108,7 +90,7 @@
         if call is None:
             return
         reply = effect.reply
-        headers = wire.make_headers(reply.headers)
+        headers = make_headers(reply.headers)
         body = reply.body
         if reply.outcome != ANSWERED:
             headers["Content-Type"] = "application/json"
@@ -197,7 +179,7 @@
 
     async def _exchange_attempt(self, effect, payload, exchange):
         now = self._shell.loop.time
-        headers = wire.make_headers(payload.headers)
+        headers = make_headers(payload.headers)
         headers[wire.WORK_HEADER] = self._encode_work(effect, payload)
         try:
             response = await self._shell.pool.fetch(
@@ -286,7 +268,7 @@
             )
             return
         request, attempt = origin
-        headers = wire.make_headers(effect.reply.headers)
+        headers = make_headers(effect.reply.headers)
         headers[wire.REPLY_HEADER] = wire.encode_reply(
             attempt, effect.reply, self._config
         )
@@ -301,7 +283,7 @@
 
     async def _exchange_target(self, effect, payload, exchange):
         now = self._shell.loop.time
-        headers = wire.make_headers(payload.headers)
+        headers = make_headers(payload.headers)
         headers["Balsamdeal-Timeout-S"] = f"{effect.timeout_s:.3f}"
         headers["Balsamdeal-Retry"] = "no"
         try:
--- /dev/null
+++ b/balsamdeal/net/proxying.py
@@ -0,0 +1,622 @@
+"""The shell of the request path: sockets, timers and payloads around ``core.proxy``.
+
+One loop on one thread. Payloads and answers stay here, under the ids that events and
+effects carry. Every exchange ends in exactly one event.
+"""
+
+import asyncio
+import json
+import logging
+from dataclasses import dataclass
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+)
+
+from balsamdeal.core import traffic
+from balsamdeal.core.calls import CALL_TIMER
+from balsamdeal.core.proxy import Proxy
+from balsamdeal.core.routes import Limits
+from balsamdeal.core.serving import WORK_TIMER
+from balsamdeal.errors import ExchangeError
+from balsamdeal.log import DecisionLog
+from balsamdeal.metrics import Metrics
+from balsamdeal.net import hops
+from balsamdeal.net.connections import ConnectionPool, Exchange, detect_silence
+from balsamdeal.net.messages import (
+    HOP_HEADERS,
+    Answer,
+    Payload,
+    filter_headers,
+    make_headers,
+    write_response,
+)
+
+logger = logging.getLogger(__name__)
+
+# How long a node waits for another's reply beyond the time of the work itself.
+REPLY_SLACK_S = 0.3
+# Non-idempotent work goes out on connections used within this time, as an older one
+# may be closed by its other end while the work is on the way.
+IDLE_ONCE_S = 1.0
+# Largest heads that are read at all; above the configured limit they get 431.
+MAX_HEAD_BYTES = 262_144
+IDLE_SLACK_S = 1.0
+
+
+@dataclass(slots=True)
+class Incoming:
+    """A request on a connection of one of the node's servers."""
+
+    connection: object
+    payload: Payload
+    received_s: float
+
+
+@dataclass(slots=True)
+class Work:
+    """Work for the own target: its payload, and where its reply goes.
+
+    ``attempt_id`` is set for work of this node's own callers, ``connection`` for that
+    of other nodes.
+    """
+
+    payload: Payload
+    caller_service: str
+    request_id: str
+    attempt_id: int | None
+    connection: object
+    exchange: object = None
+    answer: object = None
+
+
+class RequestReader(HTTPMessageDelegate):
+    """Collects one request and hands it on once it is whole.
+
+    :param connection: the ``HTTP1Connection``.
+    :param limits: a function that returns the ``routes.Limits`` in force.
+    :param handle: takes the connection, the start line, the headers and the body.
+    """
+
+    def __init__(self, connection, limits, handle):
+        self._connection = connection
+        self._limits = limits
+        self._handle = handle
+        self._chunks = []
+        self._size = 0
+        self._refused = False
+
+    def headers_received(self, start_line, headers):
+        """Refuse what is larger than the limits allow."""
+        self._start_line = start_line
+        self._headers = headers
+        limits = self._limits()
+        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
+        if size + len(start_line.path) > limits.header_bytes:
+            self._refuse(431)
+        elif _parse_length(headers) > limits.body_bytes:
+            self._refuse(413)
+
+    def _refuse(self, status):
+        self._refused = True
+        self._connection.no_keep_alive = True
+        headers = HTTPHeaders({"Connection": "close"})
+        write_response(self._connection, "GET", status, headers, b"")
+        self._connection.close()
+
+    def data_received(self, chunk):
+        """Keep a piece of the body."""
+        if self._refused:
+            return
+        self._size += len(chunk)
+        if self._size > self._limits().body_bytes:
+            self._refuse(413)
+            return
+        self._chunks.append(chunk)
+
+    def finish(self):
+        """Hand the whole request on."""
+        if not self._refused:
+            body = b"".join(self._chunks)
+            self._handle(self._connection, self._start_line, self._headers, body)
+
+    def on_connection_close(self):
+        """Forget a request that was cut short."""
+        self._chunks.clear()
+
+
+def _parse_length(headers):
+    text = headers.get("Content-Length", "0")
+    return int(text) if text.isdigit() else 0
+
+
+class RequestServer(HTTPServerConnectionDelegate):
+    """Makes a ``RequestReader`` for each request.
+
+    :param limits: see ``RequestReader``.
+    :param handle: see ``RequestReader``.
+    """
+
+    def __init__(self, limits, handle):
+        self._limits = limits
+        self._handle = handle
+
+    def start_request(self, server_conn, request_conn):
+        """Return the reader of a new request."""
+        return RequestReader(request_conn, self._limits, self._handle)
+
+
+class SilenceAwareServer(HTTPServer):
+    """A server whose connections end when their other end is gone for good."""
+
+    def handle_stream(self, stream, address):
+        """Serve a new connection."""
+        detect_silence(stream.socket)
+        stream.set_nodelay(True)
+        super().handle_stream(stream, address)
+
+
+class ProxyShell:
+    """Owns the reducer of the request path, its servers and its connections.
+
+    :param settings: the ``ProxySettings``.
+    :param names: the ``HeaderNames`` of callers and targets.
+    """
+
+    def __init__(self, settings, names):
+        self.settings = settings
+        self.names = names
+        self.loop = asyncio.get_running_loop()
+        self.proxy = Proxy.from_config(settings)
+        self.metrics = Metrics({})
+        self.decisions = DecisionLog(logging.getLogger("balsamdeal.decisions"))
+        limits = Limits()
+        self.peer_pool = ConnectionPool(limits.body_bytes)
+        self.target_pool = ConnectionPool(limits.body_bytes, True, IDLE_ONCE_S)
+        self.stopping = False
+        self.servers = []
+        self._calls = {}
+        self._attempts = {}
+        self._answers = {}
+        self._kept_answers = {}
+        self._work = {}
+        self._timers = {}
+        self._tasks = set()
+        self._last_id = 0
+        own = {
+            name.lower()
+            for name in (
+                names.time_left_ms,
+                names.caller_service,
+                names.instance,
+                hops.WORK_HEADER,
+                hops.REPLY_HEADER,
+            )
+        }
+        # The host is part of what a caller asked for.
+        self._dropped = (HOP_HEADERS | own) - {"host"}
+        self._runners = {
+            traffic.SetTimer: self._set_timer,
+            traffic.SendAttempt: self._send_attempt,
+            traffic.CancelAttempt: self._cancel_attempt,
+            traffic.RelayAnswer: self._relay_answer,
+            traffic.RefuseCall: self._refuse_call,
+            traffic.DropCall: self._drop_call,
+            traffic.RunWork: self._run_work,
+            traffic.CancelWork: self._cancel_work,
+            traffic.ReplyWork: self._reply_work,
+            traffic.Decision: self._write_decision,
+        }
+
+    # Life
+
+    def listen(self):
+        """Open the servers for callers, other nodes, readiness and metrics."""
+        settings = self.settings
+        self._open(settings.caller_address, self._receive_call)
+        self._open(settings.node_address, self._receive_work)
+        self._open(settings.ready_address, self._answer_control)
+        if settings.metrics_address:
+            self._open(settings.metrics_address, self._answer_control)
+
+    def _open(self, address, handle):
+        limits = self._get_limits()
+        server = SilenceAwareServer(
+            RequestServer(self._get_limits, handle),
+            max_header_size=MAX_HEAD_BYTES,
+            max_body_size=limits.body_bytes,
+            max_buffer_size=limits.body_bytes + MAX_HEAD_BYTES,
+            idle_connection_timeout=limits.idle_timeout_s,
+        )
+        host, _, port = address.rpartition(":")
+        server.listen(int(port), host, backlog=1024)
+        self.servers.append(server)
+
+    def _get_limits(self):
+        configuration = self.proxy.calls.configuration
+        return configuration.limits if configuration else Limits()
+
+    def apply_limits(self):
+        """Keep idle connections as long as the configuration in force says."""
+        timeout_s = self._get_limits().idle_timeout_s + IDLE_SLACK_S
+        for server in self.servers:
+            server.conn_params.header_timeout = timeout_s
+
+    def stop(self):
+        """Close everything."""
+        for server in self.servers:
+            server.stop()
+        for task in self._tasks:
+            task.cancel()
+        self.peer_pool.close()
+        self.target_pool.close()
+
+    def handle(self, event):
+        """Reduce an event and run its effects.
+
+        :param event: one of ``core.traffic``.
+        """
+        for effect in self.proxy.reduce(event):
+            self._runners[type(effect)](effect)
+
+    def _next_id(self):
+        self._last_id += 1
+        return self._last_id
+
+    def _spawn(self, coroutine):
+        task = self.loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._end_task)
+
+    def _end_task(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("task failed", exc_info=task.exception())
+            self.metrics.count("task_errors")
+
+    def _set_timer(self, effect):
+        key = (effect.kind, effect.subject)
+        self._timers[key] = self.loop.call_at(effect.at_s, self._fire_timer, key)
+
+    def _fire_timer(self, key):
+        self._timers.pop(key, None)
+        self.handle(traffic.TimerFired(*key, self.loop.time()))
+
+    def _clear_timer(self, kind, subject):
+        timer = self._timers.pop((kind, subject), None)
+        if timer is not None:
+            timer.cancel()
+
+    def _write_decision(self, effect):
+        self.metrics.count(effect.event.replace(" ", "_"))
+        self.decisions.write(effect, self.loop.time())
+
+    # Callers
+
+    def _receive_call(self, connection, start_line, headers, body):
+        now_s = self.loop.time()
+        call_id = self._next_id()
+        payload = Payload(
+            start_line.method,
+            start_line.path,
+            filter_headers(headers, self._dropped),
+            body,
+        )
+        self._calls[call_id] = Incoming(connection, payload, now_s)
+        connection.set_close_callback(lambda: self._lose_caller(call_id))
+        self.handle(
+            traffic.CallReceived(
+                call_id,
+                headers.get(self.names.request_id, ""),
+                headers.get("Host", ""),
+                start_line.path,
+                _parse_milliseconds(headers.get(self.names.time_left_ms)),
+                now_s,
+            )
+        )
+
+    def _lose_caller(self, call_id):
+        if call_id in self._calls:
+            self.handle(traffic.CallerLeft(call_id, self.loop.time()))
+
+    def _end_call(self, call_id):
+        self._clear_timer(CALL_TIMER, call_id)
+        for attempt_id in self._kept_answers.pop(call_id, ()):
+            self._answers.pop(attempt_id, None)
+        return self._calls.pop(call_id, None)
+
+    def _drop_call(self, effect):
+        self._end_call(effect.call_id)
+
+    def _relay_answer(self, effect):
+        answer = self._answers.pop(effect.attempt_id)
+        call = self._end_call(effect.call_id)
+        if call is None:
+            return
+        headers = make_headers(answer.headers)
+        self._respond(call, answer.status, headers, answer.body, answer.reason)
+
+    def _refuse_call(self, effect):
+        call = self._end_call(effect.call_id)
+        if call is None:
+            return
+        headers = HTTPHeaders({"Content-Type": "application/json"})
+        for name, value in call.payload.headers:
+            if name.lower() == self.names.request_id.lower():
+                headers[name] = value
+        if effect.retry_after_s is not None:
+            headers["Retry-After"] = f"{effect.retry_after_s:.3f}"
+        body = json.dumps({"reason": effect.reason}).encode()
+        self._respond(call, effect.status, headers, body, None)
+
+    def _respond(self, call, status, headers, body, reason):
+        if self.stopping:
+            headers["Connection"] = "close"
+        connection = call.connection
+        write_response(connection, call.payload.method, status, headers, body, reason)
+        self.metrics.count(f"responses_{status}")
+        self.metrics.record_latency(
+            self.settings.service, str(status), self.loop.time() - call.received_s
+        )
+
+    # Attempts
+
+    def _send_attempt(self, effect):
+        payload = self._calls[effect.call_id].payload
+        if effect.local:
+            self._start_local(effect, payload)
+            return
+        exchange = Exchange()
+        self._attempts[effect.attempt_id] = exchange
+        self._spawn(self._exchange_attempt(effect, payload, exchange))
+
+    def _start_local(self, effect, payload):
+        work_id = self._next_id()
+        request_id = self._get_request_id(payload)
+        self._attempts[effect.attempt_id] = work_id
+        self._work[work_id] = Work(
+            payload, self.settings.service, request_id, effect.attempt_id, None
+        )
+        self.handle(
+            traffic.WorkReceived(
+                work_id,
+                request_id,
+                effect.instance,
+                effect.service,
+                effect.idempotent,
+                effect.rank,
+                effect.inner,
+                effect.time_left_s,
+                effect.objective_left_s,
+                effect.elapsed_s,
+                self.loop.time(),
+            )
+        )
+
+    def _get_request_id(self, payload):
+        wanted = self.names.request_id.lower()
+        for name, value in payload.headers:
+            if name.lower() == wanted:
+                return value
+        return ""
+
+    async def _exchange_attempt(self, effect, payload, exchange):
+        headers = make_headers(payload.headers)
+        headers[hops.WORK_HEADER] = hops.encode_work(effect, self.settings.service)
+        try:
+            response = await self.peer_pool.fetch(
+                effect.node_address,
+                payload.method,
+                payload.path,
+                headers,
+                payload.body,
+                timeout_s=effect.time_left_s + REPLY_SLACK_S,
+                once=not effect.idempotent,
+                exchange=exchange,
+            )
+            text = response.headers.get(hops.REPLY_HEADER, "")
+            reply = hops.decode_reply(text, effect.node_address)
+        except ExchangeError as error:
+            self._attempts.pop(effect.attempt_id, None)
+            now_s = self.loop.time()
+            self.handle(
+                traffic.AttemptFailed(
+                    effect.attempt_id, error.written, error.step, now_s
+                )
+            )
+            return
+        self._attempts.pop(effect.attempt_id, None)
+        if reply.outcome == traffic.ANSWERED:
+            self._keep_answer(effect.call_id, effect.attempt_id, response)
+        now_s = self.loop.time()
+        self.handle(traffic.AttemptReplied(effect.attempt_id, reply, now_s))
+
+    def _keep_answer(self, call_id, attempt_id, response):
+        if call_id not in self._calls:
+            return
+        self._answers[attempt_id] = Answer(
+            response.status,
+            response.reason,
+            filter_headers(response.headers, self._dropped),
+            response.body,
+        )
+        self._kept_answers.setdefault(call_id, []).append(attempt_id)
+
+    def _cancel_attempt(self, effect):
+        pending = self._attempts.pop(effect.attempt_id, None)
+        if isinstance(pending, Exchange):
+            pending.cancel()
+        elif pending is not None:
+            self._abandon_work(pending)
+
+    # Work at the own target
+
+    def _receive_work(self, connection, start_line, headers, body):
+        now_s = self.loop.time()
+        work_id = self._next_id()
+        request_id = headers.get(self.names.request_id, "")
+        try:
+            event, caller_service = hops.decode_work(
+                headers.get(hops.WORK_HEADER, ""), work_id, request_id, now_s
+            )
+        except ExchangeError as error:
+            logger.warning("bad work", extra={"reason": str(error)})
+            self.metrics.count("bad_messages")
+            write_response(connection, start_line.method, 400, HTTPHeaders(), b"")
+            return
+        pairs = filter_headers(headers, self._dropped)
+        payload = Payload(start_line.method, start_line.path, pairs, body)
+        self._work[work_id] = Work(
+            payload, caller_service, request_id, None, connection
+        )
+        connection.set_close_callback(lambda: self._abandon_work(work_id))
+        self.handle(event)
+
+    def _abandon_work(self, work_id):
+        self._clear_timer(WORK_TIMER, work_id)
+        if work_id in self._work:
+            self.handle(traffic.WorkAbandoned(work_id, self.loop.time()))
+            self._work.pop(work_id, None)
+
+    def _run_work(self, effect):
+        work = self._work[effect.work_id]
+        work.exchange = Exchange()
+        self._spawn(self._exchange_work(effect, work))
+
+    async def _exchange_work(self, effect, work):
+        payload = work.payload
+        names = self.names
+        headers = make_headers(payload.headers)
+        headers[names.time_left_ms] = str(int(effect.time_left_s * 1000))
+        headers[names.instance] = effect.instance
+        headers[names.caller_service] = work.caller_service
+        try:
+            response = await self.target_pool.fetch(
+                self.settings.target_address,
+                payload.method,
+                payload.path,
+                headers,
+                payload.body,
+                timeout_s=effect.time_left_s + REPLY_SLACK_S,
+                once=not effect.idempotent,
+                exchange=work.exchange,
+                is_own=self._make_owner_check(work.request_id),
+            )
+            self._check_answer(response)
+        except ExchangeError as error:
+            now_s = self.loop.time()
+            self.handle(
+                traffic.TargetFailed(effect.work_id, error.written, error.step, now_s)
+            )
+            return
+        self._take_target_answer(effect.work_id, work, response)
+
+    def _make_owner_check(self, request_id):
+        name = self.names.request_id
+        declined = self.names.declined
+
+        def is_own(status, headers):
+            echoed = headers.get(name)
+            if echoed is None:
+                return status == 421 or declined in headers
+            return echoed == request_id
+
+        return is_own
+
+    def _check_answer(self, response):
+        """Refuse bytes that cannot be the target's answer.
+
+        :raises ExchangeError: with what gives them away.
+        """
+        address = self.settings.target_address
+        if "Content-Encoding" in response.headers:
+            raise ExchangeError("encoded answer", "encoding", address, True)
+        success = 200 <= response.status < 300
+        if success and self.names.seal not in response.headers:
+            raise ExchangeError("success without a seal", "seal", address, True)
+        if 300 <= response.status < 400 or response.status < 200:
+            raise ExchangeError(f"status {response.status}", "status", address, True)
+
+    def _take_target_answer(self, work_id, work, response):
+        status = response.status
+        misdirected = status == 421
+        declined = misdirected or self.names.declined in response.headers
+        work.answer = response
+        self.handle(
+            traffic.TargetReplied(
+                work_id,
+                declined,
+                misdirected,
+                response.headers.get("Connection", "").lower() == "close",
+                status >= 500,
+                self.loop.time(),
+            )
+        )
+
+    def _cancel_work(self, effect):
+        self._clear_timer(WORK_TIMER, effect.work_id)
+        work = self._work.get(effect.work_id)
+        if work is not None and work.exchange is not None:
+            work.exchange.cancel()
+
+    def _reply_work(self, effect):
+        self._clear_timer(WORK_TIMER, effect.work_id)
+        work = self._work.pop(effect.work_id, None)
+        if work is None:
+            return
+        reply = effect.reply
+        if work.attempt_id is not None:
+            self._finish_local(work, reply)
+            return
+        headers = HTTPHeaders()
+        status, body, reason = 503, b"", None
+        if reply.outcome == traffic.ANSWERED:
+            answer = work.answer
+            status, body, reason = answer.status, answer.body, answer.reason
+            headers = make_headers(filter_headers(answer.headers, self._dropped))
+        headers[hops.REPLY_HEADER] = hops.encode_reply(reply)
+        method = work.payload.method
+        write_response(work.connection, method, status, headers, body, reason)
+
+    def _finish_local(self, work, reply):
+        attempt_id = work.attempt_id
+        self._attempts.pop(attempt_id, None)
+        call = self.proxy.calls.attempts.get(attempt_id)
+        if call is not None and reply.outcome == traffic.ANSWERED:
+            self._keep_answer(call.event.call_id, attempt_id, work.answer)
+        # Replies may come while the attempt's own event is still being reduced.
+        self.loop.call_soon(
+            lambda: self.handle(
+                traffic.AttemptReplied(attempt_id, reply, self.loop.time())
+            )
+        )
+
+    # Readiness and metrics
+
+    def _answer_control(self, connection, start_line, headers, body):
+        path = start_line.path.partition("?")[0]
+        if path.endswith("metrics"):
+            content = self.metrics.format_prometheus()
+            kind = "text/plain; version=0.0.4"
+            write_response(
+                connection, "GET", 200, HTTPHeaders({"Content-Type": kind}), content
+            )
+            return
+        ready = self.proxy.is_ready() and not self.stopping
+        content = json.dumps({"ready": ready}).encode()
+        headers = HTTPHeaders({"Content-Type": "application/json"})
+        write_response(
+            connection, start_line.method, 200 if ready else 503, headers, content
+        )
+
+
+def _parse_milliseconds(text):
+    """Return seconds, or None where a caller names no usable time."""
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value / 1000 if 0 <= value < 1e9 else None
--- a/balsamdeal/net/wire.py
+++ b/balsamdeal/net/wire.py
@@ -1,28 +1,13 @@
 """Conversion between wire models and the core's data classes."""
 
-from tornado.httputil import HTTPHeaders
-
 from balsamdeal import models
 from balsamdeal.core.events import Finding, View
 from balsamdeal.core.replies import Load, Reply
 from balsamdeal.documents import CHANNELS, NO_VERSION, Delta, Version
+from balsamdeal.net import messages
 
 WORK_HEADER = "Balsamdeal-Work"
 REPLY_HEADER = "Balsamdeal-Reply"
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "host",
-        "keep-alive",
-        "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 
 
 def pack_version(version):
@@ -134,14 +119,6 @@
     return message.attempt, reply, Version(*message.config)
 
 
-def make_headers(pairs):
-    """Return tornado's ``HTTPHeaders`` of pairs."""
-    headers = HTTPHeaders()
-    for name, value in pairs:
-        headers.add(name, value)
-    return headers
-
-
 def filter_headers(headers):
     """Return the end-to-end headers as pairs; none of the system's own.
 
@@ -149,8 +126,8 @@
     """
     return tuple(
         (name, value)
-        for name, value in headers.get_all()
-        if name.lower() not in HOP_HEADERS and not name.startswith("Balsamdeal-")
+        for name, value in messages.filter_headers(headers)
+        if not name.startswith("Balsamdeal-")
     )
 
 
--- /dev/null
+++ b/balsamdeal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: its names, formats and calls, no decisions."""
--- /dev/null
+++ b/balsamdeal/proxydaemon.py
@@ -0,0 +1,93 @@
+"""Runs a node that forwards by host and path, from its start to the end of a stop."""
+
+import asyncio
+import logging
+import signal
+
+from balsamdeal.core import traffic
+from balsamdeal.net.feed import Feed
+from balsamdeal.net.proxying import ProxyShell
+from balsamdeal.runtime import exempt_startup_objects
+
+logger = logging.getLogger(__name__)
+
+EXIT_ADDRESS = 3
+# Callers hear of a stop by two missed questions for readiness, a second apart; what
+# they sent before that is on its way a little longer.
+LINGER_S = 3.2
+# Work of other nodes is refused this long before the end, so that none is lost.
+REFUSE_S = 0.15
+# The end comes this long before a kill.
+KILL_MARGIN_S = 0.4
+IDLE_POLL_S = 0.05
+SETTINGS_POLL_S = 1.0
+
+
+async def drain(shell):
+    """Serve on while callers leave, then wait for what is in flight.
+
+    :param shell: the ``ProxyShell``.
+    """
+    loop = shell.loop
+    bound_s = loop.time() + shell.settings.stop_bound_s - KILL_MARGIN_S - REFUSE_S
+    linger_s = min(loop.time() + LINGER_S, bound_s)
+    shell.stopping = True
+    shell.handle(traffic.StopRequested(loop.time()))
+    while loop.time() < linger_s:
+        await asyncio.sleep(IDLE_POLL_S)
+    while not shell.proxy.is_idle() and loop.time() < bound_s:
+        await asyncio.sleep(IDLE_POLL_S)
+    shell.proxy.serving.refusing = True
+    await asyncio.sleep(REFUSE_S)
+
+
+async def serve(settings, names, make_reader, read_settings):
+    """Run the node until a signal; return the exit code.
+
+    :param settings: the ``ProxySettings``.
+    :param names: the ``HeaderNames`` of callers and targets.
+    :param make_reader: takes the shell and returns the source's client.
+    :param read_settings: returns the settings as they are now.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    shell = ProxyShell(settings, names)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    reload = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    try:
+        shell.listen()
+    except OSError as error:
+        logger.error("cannot listen", extra={"reason": str(error)})
+        return EXIT_ADDRESS
+    feed = Feed(shell, make_reader(shell), settings.seed)
+    feed.start()
+    follower = loop.create_task(_follow_settings(shell, reload, read_settings))
+    exempt_startup_objects()
+    logger.info("started", extra={"service": settings.service})
+    await stop.wait()
+    await drain(shell)
+    follower.cancel()
+    feed.stop()
+    shell.stop()
+    logger.info("stopped", extra={"idle": shell.proxy.is_idle()})
+    return 0
+
+
+async def _follow_settings(shell, reload, read_settings):
+    """Take up settings that change, at a signal or without one."""
+    while True:
+        try:
+            await asyncio.wait_for(reload.wait(), SETTINGS_POLL_S)
+            reload.clear()
+        except TimeoutError:
+            pass  # the regular look, for changes that no signal tells of
+        try:
+            settings = read_settings()
+        except (OSError, ValueError) as error:
+            logger.error("settings kept", extra={"reason": str(error)})
+            continue
+        if settings != shell.settings:
+            shell.settings = settings
+            logger.info("settings reloaded", extra={"service": settings.service})
