Bound the wait at a target to a tenth of the objective; leave targets in time

Ruled out: order alone. After: what can be in time goes first; the queue is a tenth of the objective. Also: a target's node refuses work for a target that has been leaving for a second, budgets weigh what a repeat leads to, slow targets are probed again, short outages of the source keep nothing that it dropped. Conclusion: a standing queue only makes all late.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -30,9 +30,12 @@
 NO_TARGET_RETRY_S = 0.4
 # A repeat must have at least this long left to be worth sending.
 MIN_REPEAT_S = 0.05
-# Share of a service's requests that this node's repeats may add. Targets' own calls
-# are repeated along, so it stays below what operators allow in all.
-REPEAT_SHARE = 0.08
+# Share of what operators allow that this node's repeats use up at most. Every node
+# keeps to its part of the same share, so the fleet does, whatever its size.
+BUDGET_USE = 0.7
+# A repeat of work that may have run repeats the calls that its target makes, too.
+RUN_REPEAT_COST = 4.0
+DECLINED_REPEAT_COST = 1.0
 
 
 @dataclass(slots=True)
@@ -45,7 +48,6 @@
     deadline_s: float
     objective_at_s: float
     elapsed_s: float
-    inner: bool
     asked: set = field(default_factory=set)
     reached: int = 0
     attempt_id: int | None = None
@@ -61,11 +63,13 @@
 
     :param placement: the ``Placement`` that chooses targets.
     :param random: the seeded generator of the reducer.
+    :param repeat_share: extra attempts that operators allow for each request.
     """
 
-    def __init__(self, placement, random):
+    def __init__(self, placement, random, repeat_share):
         self.placement = placement
         self.random = random
+        self.repeat_share = repeat_share
         self.configuration = None
         self.own_node = placement.own_node
         self.calls = {}
@@ -95,7 +99,6 @@
             event.now_s + left_s,
             event.now_s + route.objective_s - elapsed_s,
             elapsed_s,
-            False,
         )
         self.calls[event.call_id] = call
         self._get_budget(call.service).note_request(event.now_s)
@@ -119,7 +122,7 @@
     def _get_budget(self, service):
         budget = self.budgets.get(service)
         if budget is None:
-            budget = self.budgets[service] = RetryBudget(REPEAT_SHARE)
+            budget = self.budgets[service] = RetryBudget(self.repeat_share * BUDGET_USE)
         return budget
 
     def _refuse_new(self, event, status, reason, retry_after_s):
@@ -151,7 +154,7 @@
         call.target = target
         call.asked.add(target.identity)
         self.attempts[call.attempt_id] = call
-        self.placement.note_sent(target, now_s)
+        self.placement.note_sent(target)
         return [
             SendAttempt(
                 call.attempt_id,
@@ -162,7 +165,6 @@
                 call.service,
                 call.route.idempotent,
                 call.route.rank,
-                call.inner,
                 max(0.0, call.deadline_s - now_s),
                 call.objective_at_s - now_s,
                 call.elapsed_s,
@@ -195,11 +197,11 @@
         result = []
         if reply.reached:
             result += self._note_result(call, target, True, now_s)
-        elif reply.retry_after_s == 0.0 or reply.reason == "connect":
+        elif reply.unusable:
             self.placement.note_unreachable(target, now_s)
         if reply.outcome == NOT_RUN:
             self._note_return(call, reply.retry_after_s)
-            if not reply.reached or self._may_repeat(call, now_s):
+            if not reply.reached or self._may_repeat(call, now_s, DECLINED_REPEAT_COST):
                 return result + self._send(call, now_s)
             return result + self._give_up(call, now_s)
         call.may_have_run = True
@@ -248,12 +250,12 @@
         result.append(RelayAnswer(call.event.call_id, event.attempt_id))
         return result
 
-    def _may_repeat(self, call, now_s):
+    def _may_repeat(self, call, now_s, cost=RUN_REPEAT_COST):
         if call.reached >= call.route.max_attempts:
             return False
         if call.deadline_s - now_s < MIN_REPEAT_S:
             return False
-        return self._get_budget(call.service).spend(now_s)
+        return self._get_budget(call.service).spend(now_s, cost)
 
     def take_failure(self, event):
         """Try again, or tell the caller what is known."""
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 # A report older than this is believed less and less: queues turn over within it.
 REPORT_HALF_LIFE_S = 0.5
@@ -31,6 +31,12 @@
 FAILURE_GAIN = 0.1
 # At most this share of a service's targets may be ejected at a time.
 MAX_EJECTED_SHARE = 0.4
+# Waits are expected above this share of a limit: arrivals are uneven, and some targets
+# slow down when they are nearly full.
+KNEE_SHARE = 0.85
+# A target without a report for this long is taken for a usual one of its service, and
+# asked once, so that one that was slow is found again when it has recovered.
+PROBE_AFTER_S = 1.5
 # Load below this share of a limit costs no wait; the own node is preferred up to it.
 OWN_LOAD_SHARE = 0.7
 
@@ -47,8 +53,6 @@
     unreachable_count: int = 0
     out_until_s: float = -math.inf
     stopping_until_s: float = -math.inf
-    last_sent_s: float = -math.inf
-    seen: set = field(default_factory=set)
 
 
 class Placement:
@@ -81,12 +85,11 @@
             if not self.views[identity].in_flight:
                 del self.views[identity]
 
-    def note_sent(self, target, now_s):
+    def note_sent(self, target):
         """Count an attempt."""
         view = self.get_view(target)
         view.in_flight += 1
         view.sent_since += 1
-        view.last_sent_s = now_s
 
     def note_ended(self, target):
         """Count an attempt out, whatever its end."""
@@ -142,11 +145,22 @@
             age = (now_s - view.load_s) / REPORT_HALF_LIFE_S
             present = (load.busy + load.queued) * math.exp2(-age)
         present = max(present + view.sent_since, view.in_flight)
-        over = max(0.0, present + 1 - limit)
+        if now_s - view.load_s > PROBE_AFTER_S and not view.in_flight:
+            work_s = min(work_s, self._get_usual_work_s(target.service))
+        over = max(0.0, present + 1 - KNEE_SHARE * limit)
         # Among targets with room the emptier one is a little better.
         spread = 0.1 * min(1.0, present / limit)
         return work_s * (1.0 + spread + over / limit)
 
+    def _get_usual_work_s(self, service):
+        """Return the median length of a run at the targets of a service."""
+        known = [
+            view.load.work_s
+            for view in map(self.get_view, self.targets.list_service(service))
+            if view.load is not None
+        ]
+        return sorted(known)[len(known) // 2] if known else DEFAULT_WORK_S
+
     def choose(self, service, excluded, objective_left_s, now_s):
         """Return the target for a piece of work, or None.
 
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -20,13 +20,14 @@
     :param own_node: the address of this node as other nodes reach it.
     :param own_domain: the failure domain of this node.
     :param seed: the seed of all random choices.
+    :param repeat_share: extra attempts that operators allow for each request.
     """
 
-    def __init__(self, own_node, own_domain, seed):
+    def __init__(self, own_node, own_domain, seed, repeat_share=0.2):
         random = Random(seed)
         self.targets = TargetList()
         self.placement = Placement(self.targets, own_domain, own_node, random)
-        self.calls = Calls(self.placement, random)
+        self.calls = Calls(self.placement, random, repeat_share)
         self.serving = Serving(self.targets, own_node)
         self._reducers = {
             traffic.CallReceived: self.calls.receive,
@@ -51,7 +52,12 @@
 
         :param settings: a ``net.proxying.ProxySettings``.
         """
-        return cls(settings.node_address, settings.failure_domain, settings.seed)
+        return cls(
+            settings.node_address,
+            settings.failure_domain,
+            settings.seed,
+            settings.repeat_share,
+        )
 
     def reduce(self, event):
         """Return the effects of an event.
@@ -78,10 +84,10 @@
         self.calls.configuration = configuration
         return True
 
-    def note_targets(self):
+    def note_targets(self, now_s):
         """Take up a change of the list of targets."""
         self.placement.forget_absent()
-        self.serving.refresh_limit()
+        self.serving.note_targets(now_s)
 
     def is_ready(self):
         """Return whether callers are served."""
--- a/balsamdeal/core/retries.py
+++ b/balsamdeal/core/retries.py
@@ -31,10 +31,13 @@
         self._decay(now_s)
         self.requests += 1
 
-    def spend(self, now_s):
-        """Take one extra attempt out of the budget; return whether there was one."""
+    def spend(self, now_s, cost=1.0):
+        """Take an extra attempt out of the budget; return whether there was one.
+
+        :param cost: how many requests the attempt leads to.
+        """
         self._decay(now_s)
-        if self.extra + 1 > FREE_RETRIES + self.requests * self.share:
+        if self.extra + cost > FREE_RETRIES * cost + self.requests * self.share:
             return False
-        self.extra += 1
+        self.extra += cost
         return True
--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -23,6 +23,9 @@
 TIMEOUT_SLACK_S = 0.02
 # Slots of a target whose entry is not known yet.
 DEFAULT_SLOTS = 8
+# New work runs at a leaving target for this long after its node has heard of it, as
+# nodes that have not heard yet still send some. Operators allow two seconds.
+LEAVING_S = 1.0
 # When work that a target declined or could not be reached for is asked back.
 UNREACHABLE_RETRY_S = 0.3
 
@@ -40,26 +43,34 @@
         self.queue = Queue(DEFAULT_SLOTS)
         self.stopping = False
         self.refusing = False
+        self.listed = set()
+        self.leaving_s = {}
 
-    def find_own(self, instance=None):
-        """Return the own target's entry, or None."""
+    def note_targets(self, now_s):
+        """Take what the list says of the own target: its slots, and its leaving."""
+        present = set()
+        newest = None
         for target in self.targets.targets.values():
-            if target.node_address == self.own_node:
-                if instance is None or target.instance == instance:
-                    return target
-        return None
-
-    def refresh_limit(self):
-        """Take the number of slots that the own target publishes."""
-        listed = [
-            target
-            for target in self.targets.targets.values()
-            if target.node_address == self.own_node
-        ]
-        if listed:
-            newest = max(listed, key=lambda target: target.revision)
+            if target.node_address != self.own_node:
+                continue
+            present.add(target.instance)
+            if target.leaving:
+                self.leaving_s.setdefault(target.instance, now_s)
+            else:
+                self.leaving_s.pop(target.instance, None)
+            if newest is None or target.revision > newest.revision:
+                newest = target
+        for instance in self.listed - present:
+            self.leaving_s.setdefault(instance, now_s)
+        self.listed = present
+        if newest is not None:
             self.queue.set_limit(newest.slots)
 
+    def _is_left(self, instance, now_s):
+        """Return whether a target has been leaving too long for new work."""
+        since_s = self.leaving_s.get(instance)
+        return since_s is not None and now_s - since_s > LEAVING_S
+
     def make_load(self):
         """Return the ``NodeLoad`` that goes with each reply."""
         queue = self.queue
@@ -75,7 +86,9 @@
     def receive(self, event):
         """Run, queue or refuse work."""
         if self.refusing:
-            return self._refuse(event, "node is stopping", 0.0)
+            return self._refuse(event, "node is stopping", 0.0, unusable=True)
+        if self._is_left(event.instance, event.now_s):
+            return self._refuse(event, "target is leaving", 0.0, unusable=True)
         waiter, wait_s = self.queue.admit(event)
         if waiter is None:
             return self._refuse(event, "queue would outlast its time", wait_s)
@@ -94,7 +107,7 @@
             max(0.0, waiter.deadline_s - now_s),
         )
 
-    def _refuse(self, event, reason, retry_after_s):
+    def _refuse(self, event, reason, retry_after_s, unusable=False):
         load = self.make_load()
         decision = Decision(
             "work refused",
@@ -110,7 +123,9 @@
                 "retry_after_s": round(retry_after_s, 2),
             },
         )
-        reply = WorkReply(NOT_RUN, False, reason, retry_after_s, load=load)
+        reply = WorkReply(
+            NOT_RUN, False, reason, retry_after_s, unusable=unusable, load=load
+        )
         return [decision, ReplyWork(event.work_id, reply)]
 
     def _reply(self, work_id, outcome, reached, reason, **details):
@@ -125,6 +140,11 @@
                 result += self._refuse(other.event, "its time is nearly over", 0.0)
             if waiter is None:
                 return result
+            if self._is_left(waiter.event.instance, now_s):
+                result += self._refuse(
+                    waiter.event, "target is leaving", 0.0, unusable=True
+                )
+                continue
             result.append(self._start(waiter, now_s))
 
     def abandon(self, event):
@@ -142,7 +162,11 @@
             return []
         if event.misdirected:
             reply = self._reply(
-                event.work_id, NOT_RUN, False, "another server has the address"
+                event.work_id,
+                NOT_RUN,
+                False,
+                "another server has the address",
+                unusable=True,
             )
         elif event.declined:
             reply = self._reply(
@@ -180,6 +204,7 @@
             event.sent,
             event.step,
             retry_after_s=UNREACHABLE_RETRY_S,
+            unusable=not event.sent,
         )
         return [decision, reply, *self._start_next(event.now_s)]
 
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -34,7 +34,8 @@
 
     ``reached`` tells whether the target was sent anything, which counts against
     retry budgets. ``retry_after_s`` is when there will be room, for ``NOT_RUN``.
-    ``failed`` marks an answer of the target that is a failure of its own.
+    ``failed`` marks an answer of the target that is a failure of its own. ``unusable``
+    says that the target takes no work for now, whoever asks.
     """
 
     outcome: str
@@ -42,6 +43,7 @@
     reason: str
     retry_after_s: float = 0.0
     failed: bool = False
+    unusable: bool = False
     load: NodeLoad | None = None
 
 
@@ -104,8 +106,8 @@
     """Work for the own target arrived.
 
     ``time_left_s`` bounds it, ``objective_left_s`` is the time in which its answer
-    is still in time (it may be negative), ``inner`` marks calls that targets make,
-    ``elapsed_s`` is how long its caller has been trying.
+    is still in time (it may be negative), ``elapsed_s`` is how long its caller has
+    been trying.
     """
 
     work_id: int
@@ -114,7 +116,6 @@
     service: str
     idempotent: bool
     rank: int
-    inner: bool
     time_left_s: float
     objective_left_s: float
     elapsed_s: float
@@ -186,7 +187,6 @@
     service: str
     idempotent: bool
     rank: int
-    inner: bool
     time_left_s: float
     objective_left_s: float
     elapsed_s: float
--- a/balsamdeal/core/waiting.py
+++ b/balsamdeal/core/waiting.py
@@ -2,9 +2,8 @@
 
 Answers the pattern of a load above capacity for seconds or minutes. Work that the
 target cannot begin in time is refused on arrival, when nothing has been spent on it,
-with the time at which there will be room. Work that waits is ordered by urgency:
-calls of targets first, as their parents hold slots; then callers who were sent away
-once and came back; then by rank and arrival.
+with the time at which there will be room. Work that waits is ordered by rank, then
+callers who were sent away once and came back, then by arrival.
 """
 
 import heapq
@@ -13,6 +12,15 @@
 
 # A queue is left by work whose remaining time is below this share of a mean run.
 HOPELESS_SHARE = 0.5
+
+
+# A run may take this many times the mean: nine in ten of the users' runs do not.
+TAIL_FACTOR = 1.5
+# Work waits for at most this share of its remaining objective. A longer queue serves no
+# more callers, it only makes all of them late.
+WAIT_SHARE = 0.1
+# Work that is late already waits for at most this share of a run.
+LATE_WAIT_SHARE = 0.1
 # Weight of the newest run in the mean length of a run.
 WORK_GAIN = 0.05
 # Taken for the length of a run before one has ended.
@@ -20,8 +28,6 @@
 # Shortest and longest time after which a refused caller is asked back.
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_AFTER_S = 2.0
-# A caller that has been trying for longer than this was refused before.
-RETURNED_AFTER_S = 0.04
 
 
 @dataclass(slots=True)
@@ -83,20 +89,20 @@
     def _precedes(self, waiter, order):
         return self._rate(waiter.event) <= order
 
-    @staticmethod
-    def _rate(event):
-        returned = event.elapsed_s > RETURNED_AFTER_S
-        return (not event.inner, event.rank, not returned)
+    def _rate(self, event):
+        """Return the order of work: rank, then what can be in time, then urgency."""
+        late = event.objective_left_s < self.get_work_s()
+        return (event.rank, late, event.now_s + event.objective_left_s)
 
     def _get_patience_s(self, event):
         """Return the longest wait that still serves the caller."""
         work_s = self.get_work_s()
-        in_time_s = event.objective_left_s - work_s
+        in_time_s = event.objective_left_s - TAIL_FACTOR * work_s
         if in_time_s > 0:
-            return in_time_s
+            return min(in_time_s, WAIT_SHARE * event.objective_left_s)
         # Its objective has passed: it may wait for a run within its time.
         late_s = event.time_left_s - 2 * work_s
-        return min(late_s, 2 * work_s)
+        return min(late_s, LATE_WAIT_SHARE * work_s)
 
     def _suggest_return_s(self):
         """Return when there will be room for one more, in seconds."""
--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import logging
+from dataclasses import dataclass
 from random import Random
 
+from balsamdeal.core.membership import REFUSED
 from balsamdeal.errors import HistoryLostError, SourceError
 
 logger = logging.getLogger(__name__)
@@ -16,11 +18,27 @@
 WATCH_S = 25.0
 # After news a watch pauses, so that a storm of changes becomes a few reads. It stays
 # far below the two seconds in which a configuration must be in force.
-CONFIGURATION_PAUSE_S = 0.35
-TARGETS_PAUSE_S = 0.25
+CONFIGURATION_PAUSE_S = 0.8
+TARGETS_PAUSE_S = 0.5
 # Full jitter between attempts: base, doubled with each failure up to the longest.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 0.8
+# Entries cannot lapse in an outage shorter than this: it is below one heartbeat.
+SHORT_OUTAGE_S = 1.0
+# Failures that are noticed at once. Others may have begun long before.
+PROMPT_STEPS = frozenset({"read", REFUSED, "kv-watch", "kv-range", "kv-key"})
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """When the source was first found away, and at which step."""
+
+    since_s: float
+    step: str
+
+    def is_long(self, now_s):
+        """Return whether entries may have lapsed in it."""
+        return now_s - self.since_s > SHORT_OUTAGE_S or self.step not in PROMPT_STEPS
 
 
 class Feed:
@@ -56,14 +74,19 @@
     async def _follow(self, name, step, pause_s):
         revision = None
         failures = 0
+        outage = None
         while True:
             try:
-                revision, changed = await step(revision, failures > 0)
+                relist = failures > 0
+                long = relist and outage.is_long(self._shell.loop.time())
+                revision, changed = await step(None if relist else revision, long)
             except HistoryLostError as error:
                 logger.info("source lost its history", extra={"reason": str(error)})
                 revision = None
                 continue
             except SourceError as error:
+                if not failures:
+                    outage = Outage(self._shell.loop.time(), error.step)
                 failures += 1
                 self._note_failure(name, failures, error)
                 bound_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**failures)
@@ -82,7 +105,7 @@
             logger.warning("source is away", extra=reason)
 
     async def _step_configuration(self, revision, after_outage):
-        if revision is None or after_outage:
+        if revision is None:
             found, revision = await self._reader.read_configuration()
             found = [] if found is None else [found]
         else:
@@ -109,7 +132,7 @@
     async def _step_targets(self, revision, after_outage):
         shell = self._shell
         targets = shell.proxy.targets
-        if revision is None or after_outage:
+        if revision is None:
             entries, revision = await self._reader.list_targets()
             changed = targets.apply_listing(
                 entries, revision, after_outage, shell.loop.time()
@@ -130,7 +153,7 @@
 
     def _note_targets(self, changed):
         proxy = self._shell.proxy
-        proxy.note_targets()
+        proxy.note_targets(self._shell.loop.time())
         if changed:
             targets = proxy.targets.targets.values()
             fields = {
--- a/balsamdeal/net/messages.py
+++ b/balsamdeal/net/messages.py
@@ -11,6 +11,7 @@
         "connection",
         "content-length",
         "date",
+        "expect",
         "host",
         "keep-alive",
         "server",
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -388,7 +388,6 @@
                 effect.service,
                 effect.idempotent,
                 effect.rank,
-                effect.inner,
                 effect.time_left_s,
                 effect.objective_left_s,
                 effect.elapsed_s,
--- /dev/null
+++ b/tests/core/queueing.py
@@ -0,0 +1,298 @@
+"""A fleet of request paths in simulated time: the queueing fake of load tests.
+
+Real reducers, fake targets and callers. Targets have slots, speeds and service times
+with a tail; callers repeat as told, within their time.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass, field
+from random import Random
+
+from balsamdeal.core import traffic
+from balsamdeal.core.proxy import Proxy
+from tests.core.test_routes import make_configuration, make_route
+from tests.core.test_targets import make_target
+
+NEAR_S = 0.0002
+FAR_S = 0.0009
+CALLER_S = 0.008
+
+
+@dataclass
+class Load:
+    """Callers of one route at one node, as a Poisson stream from a time to another."""
+
+    node: str
+    path: str
+    per_s: float
+    deadline_s: float
+    work_s: float
+    from_s: float = 0.0
+    until_s: float = 1e9
+    retries: int = 2
+
+
+@dataclass
+class Ask:
+    """One caller's wish, over all of its attempts."""
+
+    load: Load
+    first_s: float
+    retries_left: int
+    ended_s: float | None = None
+    status: int | None = None
+    refusals: int = 0
+
+
+@dataclass
+class FakeTarget:
+    """A target: ``speed`` below 1 is slower; ``broken`` gives failures."""
+
+    node: str
+    slots: int
+    speed: float = 1.0
+    broken: bool = False
+    down: bool = False
+    running: dict = field(default_factory=dict)
+    most: int = 0
+    runs: int = 0
+
+
+class QueueingFleet:
+    """Nodes with one target each, in failure domains, and their callers.
+
+    :param layout: a list of (domain, service, slots, speed), one for each node.
+    :param routes: the routes of all nodes.
+    :param seed: the seed of arrivals, service times and choices.
+    """
+
+    def __init__(self, layout, routes, seed=1):
+        self.now_s = 0.0
+        self.random = Random(seed)
+        self.asks = []
+        self.decisions = []
+        self.attempts = 0
+        self.crossings = 0
+        self._heap = []
+        self._order = itertools.count()
+        self._ids = itertools.count(1)
+        self._timers = {}
+        self._calls = {}
+        self._work = {}
+        self.nodes = {}
+        self.domains = {}
+        self.targets = {}
+        entries = []
+        for index, (domain, service, slots, speed) in enumerate(layout):
+            name = f"t{index}"
+            address = f"node-{name}"
+            entries.append(
+                (
+                    name,
+                    make_target(
+                        name, 1, service=service, failure_domain=domain, slots=slots
+                    ),
+                )
+            )
+            self.domains[address] = domain
+            self.targets[address] = FakeTarget(address, slots, speed)
+            self.nodes[address] = Proxy(address, domain, seed * 1000 + index)
+        self.configuration = make_configuration(1, *routes)
+        for proxy in self.nodes.values():
+            proxy.apply_configuration(self.configuration)
+            proxy.targets.apply_listing(entries, 1, False, 0.0)
+            proxy.note_targets(0.0)
+        self._runners = {
+            traffic.SetTimer: self._set_timer,
+            traffic.SendAttempt: self._send,
+            traffic.CancelAttempt: self._cancel_attempt,
+            traffic.RelayAnswer: lambda node, e: self._finish(e.call_id, 200, None),
+            traffic.RefuseCall: lambda node, e: self._finish(
+                e.call_id, e.status, e.retry_after_s
+            ),
+            traffic.DropCall: lambda node, e: None,
+            traffic.RunWork: self._run,
+            traffic.CancelWork: self._cancel_work,
+            traffic.ReplyWork: self._reply,
+            traffic.Decision: lambda node, e: self.decisions.append(e),
+        }
+
+    def at(self, at_s, action, *arguments):
+        """Schedule an action."""
+        heapq.heappush(self._heap, (at_s, next(self._order), action, arguments))
+
+    def offer(self, load):
+        """Add callers."""
+        self.at(load.from_s + self._draw_gap(load), self._arrive, load)
+
+    def _draw_gap(self, load):
+        return self.random.expovariate(load.per_s)
+
+    def run(self, until_s):
+        """Play until a time."""
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now_s, _, action, arguments = heapq.heappop(self._heap)
+            action(*arguments)
+        self.now_s = until_s
+
+    def handle(self, node, event):
+        """Hand an event to a node and carry out the effects."""
+        for effect in self.nodes[node].reduce(event):
+            self._runners[type(effect)](node, effect)
+
+    # Callers
+
+    def _arrive(self, load):
+        if self.now_s < load.until_s:
+            self.at(self.now_s + self._draw_gap(load), self._arrive, load)
+            ask = Ask(load, self.now_s, load.retries)
+            self.asks.append(ask)
+            self._try(ask)
+
+    def _try(self, ask):
+        left_s = ask.first_s + ask.load.deadline_s - self.now_s
+        call_id = next(self._ids)
+        self._calls[call_id] = ask
+        event = traffic.CallReceived(
+            call_id, str(call_id), "shop.example", ask.load.path, left_s, self.now_s
+        )
+        self.handle(ask.load.node, event)
+
+    def _finish(self, call_id, status, retry_after_s):
+        ask = self._calls.pop(call_id, None)
+        if ask is None:
+            return
+        self._clear_timer("call", call_id)
+        left_s = ask.first_s + ask.load.deadline_s - self.now_s
+        if status == 503:
+            ask.refusals += 1
+        if status >= 500 and ask.retries_left and left_s > 0.1:
+            ask.retries_left -= 1
+            wait_s = min(retry_after_s or 0.05, left_s / 3)
+            self.at(self.now_s + wait_s + 2 * CALLER_S, self._try, ask)
+            return
+        ask.status, ask.ended_s = status, self.now_s + CALLER_S
+
+    # Hops
+
+    def _delay_s(self, one, other):
+        return NEAR_S if self.domains[one] == self.domains[other] else FAR_S
+
+    def _send(self, node, effect):
+        other = effect.node_address
+        self.attempts += 1
+        self.crossings += self.domains[node] != self.domains[other]
+        work_id = next(self._ids)
+        self._work[work_id] = (node, other, effect.attempt_id, effect.call_id)
+        event = (
+            effect.instance,
+            effect.service,
+            effect.idempotent,
+            effect.rank,
+            effect.time_left_s,
+            effect.objective_left_s,
+            effect.elapsed_s,
+        )
+        at_s = self.now_s if effect.local else self.now_s + self._delay_s(node, other)
+        self.at(at_s, self._deliver, work_id, event)
+
+    def _deliver(self, work_id, fields):
+        if work_id not in self._work:
+            return
+        node, other, attempt_id, _ = self._work[work_id]
+        if self.targets[other].down:
+            del self._work[work_id]
+            failure = traffic.AttemptFailed(attempt_id, False, "connect", self.now_s)
+            self.handle(node, failure)
+            return
+        event = traffic.WorkReceived(work_id, str(work_id), *fields, self.now_s)
+        self.handle(other, event)
+
+    def _cancel_attempt(self, node, effect):
+        for work_id, (origin, other, attempt_id, _) in list(self._work.items()):
+            if origin == node and attempt_id == effect.attempt_id:
+                del self._work[work_id]
+                event = traffic.WorkAbandoned(work_id, self.now_s)
+                self.handle(other, event)
+
+    def _reply(self, node, effect):
+        self._clear_timer("work", effect.work_id)
+        origin, _, attempt_id, _ = self._work.pop(effect.work_id, (None,) * 4)
+        if origin is not None:
+            at_s = self.now_s + self._delay_s(origin, node)
+            self.at(at_s, self._take_reply, origin, attempt_id, effect.reply)
+
+    def _take_reply(self, origin, attempt_id, reply):
+        self.handle(origin, traffic.AttemptReplied(attempt_id, reply, self.now_s))
+
+    # Targets
+
+    def _run(self, node, effect):
+        target = self.targets[node]
+        ask = self._calls.get(self._work[effect.work_id][3])
+        work_s = ask.load.work_s if ask else 0.1
+        length_s = work_s * self.random.lognormvariate(0.0, 0.3) / target.speed
+        if self.random.random() < 0.01:
+            length_s *= 3
+        target.running[effect.work_id] = True
+        target.runs += 1
+        target.most = max(target.most, len(target.running))
+        if target.broken:
+            length_s = 0.001
+        self.at(self.now_s + length_s, self._end_run, node, effect.work_id)
+
+    def _end_run(self, node, work_id):
+        target = self.targets[node]
+        if target.running.pop(work_id, None):
+            event = traffic.TargetReplied(
+                work_id, False, False, False, target.broken, self.now_s
+            )
+            self.handle(node, event)
+
+    def _cancel_work(self, node, effect):
+        self._clear_timer("work", effect.work_id)
+        self.targets[node].running.pop(effect.work_id, None)
+
+    # Timers
+
+    def _set_timer(self, node, effect):
+        key = (effect.kind, effect.subject)
+        self._timers[key] = effect.at_s
+        self.at(effect.at_s, self._fire, node, key)
+
+    def _clear_timer(self, kind, subject):
+        self._timers.pop((kind, subject), None)
+
+    def _fire(self, node, key):
+        if self._timers.get(key) == self.now_s:
+            del self._timers[key]
+            self.handle(node, traffic.TimerFired(*key, self.now_s))
+
+    # Results
+
+    def rate(self, path=None, from_s=0.0, until_s=1e9):
+        """Return shares (in time, served, refused at all) of the asks of a path."""
+        objectives = {
+            prefix: route.objective_s
+            for prefix, route in self.configuration.hosts["shop.example"].items()
+        }
+        chosen = [
+            ask
+            for ask in self.asks
+            if (path is None or ask.load.path == path)
+            and from_s <= ask.first_s < until_s
+            and ask.ended_s is not None
+        ]
+        served = [ask for ask in chosen if ask.status == 200]
+        in_time = [
+            ask
+            for ask in served
+            if ask.ended_s - ask.first_s <= objectives[ask.load.path]
+        ]
+        count = max(1, len(chosen))
+        refused = sum(ask.refusals > 0 for ask in chosen)
+        return len(in_time) / count, len(served) / count, refused / count
+
+
+__all__ = ["Load", "QueueingFleet", "make_route"]
