--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -283,6 +283,8 @@
         self.calls.pop(call_id, None)
         if call.last_failed_attempt is not None:
             return [RelayAnswer(call_id, call.last_failed_attempt)]
+        if call.may_have_run and call.deadline_s - now_s < MIN_REPEAT_S:
+            return self._end(call, 504, "time is over", None, now_s)
         if call.may_have_run:
             return self._end(call, 502, "target gave no answer", None, now_s)
         retry_after_s = call.retry_after_s
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -37,8 +37,9 @@
 # A target without a report for this long is taken for a usual one of its service, and
 # asked once, so that one that was slow is found again when it has recovered.
 PROBE_AFTER_S = 1.5
-# Load below this share of a limit costs no wait; the own node is preferred up to it.
-OWN_LOAD_SHARE = 0.7
+# The own target is kept to while it takes at most this many times as long as the best:
+# it saves the way to another node and back.
+OWN_TOLERANCE = 1.2
 
 
 @dataclass(slots=True)
@@ -201,19 +202,18 @@
         ]
 
     def _pick(self, candidates, now_s, prefer_own):
+        """Return the candidate that is expected to be fastest, and its time."""
         if not candidates:
             return None, math.inf
-        rated = []
-        for target in candidates:
-            estimate_s = self.estimate_s(target, now_s)
-            if prefer_own and target.node_address == self.own_node:
-                view = self.get_view(target)
-                limit = view.load.limit if view.load else target.slots
-                if view.load and view.load.busy < OWN_LOAD_SHARE * limit:
-                    return target, estimate_s
-            rated.append((estimate_s, self.random.random(), target))
+        rated = [
+            (self.estimate_s(target, now_s), self.random.random(), target)
+            for target in candidates
+        ]
+        own = [item for item in rated if item[2].node_address == self.own_node]
         if len(rated) > 3:
-            # A herd on the one that looks best is avoided by two random choices.
+            # Half of them at random, so that not all nodes choose the same one.
             rated = self.random.sample(rated, max(2, len(rated) // 2))
-        estimate_s, _, best = min(rated, key=lambda item: item[:2])
-        return best, estimate_s
+        best_s, _, best = min(rated, key=lambda item: item[:2])
+        if prefer_own and own and own[0][0] <= OWN_TOLERANCE * best_s:
+            return own[0][2], own[0][0]
+        return best, best_s
--- a/balsamdeal/core/waiting.py
+++ b/balsamdeal/core/waiting.py
@@ -16,9 +16,13 @@
 
 # A run may take this many times the mean: nine in ten of the users' runs do not.
 TAIL_FACTOR = 1.5
-# Work waits for at most this share of its remaining objective. A longer queue serves no
-# more callers, it only makes all of them late.
-WAIT_SHARE = 0.1
+# Work waits for at most this share of its remaining objective: in a burst, and in a
+# load that lasts. A queue that never empties serves no more callers, it only makes all
+# of them late.
+BURST_WAIT_SHARE = 0.3
+STANDING_WAIT_SHARE = 0.08
+# A queue that has not been empty for this long is a standing one, in seconds.
+STANDING_S = 1.0
 # Work that is late already waits for at most this share of a run.
 LATE_WAIT_SHARE = 0.1
 # Weight of the newest run in the mean length of a run.
@@ -51,6 +55,7 @@
     running: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
     work_s: float = 0.0
+    empty_s: float = -math.inf
     _heap: list = field(default_factory=list)
     _arrivals: int = 0
 
@@ -72,8 +77,10 @@
             in seconds after which there will be room.
         """
         waiter = Waiter(event, event.now_s + event.time_left_s)
-        if len(self.running) < self.limit and not self.waiting:
-            return waiter, 0.0
+        if not self.waiting:
+            self.empty_s = event.now_s
+            if len(self.running) < self.limit:
+                return waiter, 0.0
         order = self._rate(event)
         ahead = sum(
             1 for other in self.waiting.values() if self._precedes(other, order)
@@ -99,7 +106,9 @@
         work_s = self.get_work_s()
         in_time_s = event.objective_left_s - TAIL_FACTOR * work_s
         if in_time_s > 0:
-            return min(in_time_s, WAIT_SHARE * event.objective_left_s)
+            standing = event.now_s - self.empty_s > STANDING_S
+            share = STANDING_WAIT_SHARE if standing else BURST_WAIT_SHARE
+            return min(in_time_s, share * event.objective_left_s)
         # Its objective has passed: it may wait for a run within its time.
         late_s = event.time_left_s - 2 * work_s
         return min(late_s, LATE_WAIT_SHARE * work_s)
--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -263,6 +263,8 @@
                     raise ValueError("answers belong to other requests")
                 collector = _Collector()
                 connection = HTTP1Connection(stream, True, self._parameters)
+                # Nothing more is written; tornado waits for the end of that.
+                connection.finish()
                 await connection.read_response(collector)
         except (StreamClosedError, OSError, ValueError) as error:
             stream.close()
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -99,13 +99,20 @@
             self._refuse(431)
         elif _parse_length(headers) > limits.body_bytes:
             self._refuse(413)
+        if self._refused:
+            self._leave()
 
     def _refuse(self, status):
         self._refused = True
-        self._connection.no_keep_alive = True
         headers = HTTPHeaders({"Connection": "close"})
         write_response(self._connection, "GET", status, headers, b"")
-        self._connection.close()
+
+    def _leave(self):
+        # What follows on the connection must not be taken for a request. Closing it
+        # is not enough: tornado would go on with what it has read already.
+        stream = self._connection.detach()
+        if stream is not None:
+            stream.close()
 
     def data_received(self, chunk):
         """Keep a piece of the body."""
@@ -119,9 +126,11 @@
 
     def finish(self):
         """Hand the whole request on."""
-        if not self._refused:
-            body = b"".join(self._chunks)
-            self._handle(self._connection, self._start_line, self._headers, body)
+        if self._refused:
+            self._leave()
+            return
+        body = b"".join(self._chunks)
+        self._handle(self._connection, self._start_line, self._headers, body)
 
     def on_connection_close(self):
         """Forget a request that was cut short."""
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,107 @@
+"""Tests of where work goes: own domain first, crossings, ejection, probes."""
+
+import unittest
+from random import Random
+
+from balsamdeal.core.placement import PROBE_AFTER_S, Placement
+from balsamdeal.core.targets import TargetList
+from balsamdeal.core.traffic import NodeLoad
+from tests.core.test_targets import make_target
+
+
+class PlacementTest(unittest.TestCase):
+    """Two near targets (``n``) and two far ones (``f``)."""
+
+    def setUp(self):
+        self.targets = TargetList()
+        self.entries = [
+            (name, make_target(name, 1, failure_domain=domain, slots=10))
+            for name, domain in (
+                ("n0", "erie"),
+                ("n1", "erie"),
+                ("f0", "toledo"),
+                ("f1", "toledo"),
+            )
+        ]
+        self.targets.apply_listing(self.entries, 1, False, 0.0)
+        self.placement = Placement(self.targets, "erie", "node-n0", Random(5))
+
+    def report(self, name, busy, queued=0, work_s=0.1, now_s=0.0, stopping=False):
+        load = NodeLoad(busy, queued, 10, work_s, 0.0, stopping)
+        self.placement.note_load(self.targets.targets[name], load, now_s)
+
+    def report_all(self, **busy):
+        for name in ("n0", "n1", "f0", "f1"):
+            self.report(name, busy.get(name, 0))
+
+    def choose(self, now_s=0.0, excluded=(), objective_s=0.5):
+        return self.placement.choose("desk", set(excluded), objective_s, now_s)
+
+    def names(self, **options):
+        return {self.choose(**options).instance for _ in range(40)}
+
+    def test_own_domain_while_it_serves_in_time(self):
+        self.report_all(n0=8, n1=9)
+        self.assertLessEqual(self.names(), {"n0", "n1"})
+
+    def test_other_domain_when_the_own_one_would_be_late(self):
+        for name in ("n0", "n1"):
+            self.report(name, 10, 60)
+        self.report("f0", 1)
+        self.report("f1", 1)
+        self.assertLessEqual(self.names(), {"f0", "f1"})
+
+    def test_no_crossing_for_a_small_gain(self):
+        for name in ("n0", "n1"):
+            self.report(name, 10, 30)
+        for name in ("f0", "f1"):
+            self.report(name, 10, 28)
+        self.assertLessEqual(self.names(), {"n0", "n1"})
+
+    def test_own_target_while_it_has_room(self):
+        self.report_all()
+        self.assertEqual(self.names(), {"n0"})
+
+    def test_leaving_and_asked_targets_are_left_out(self):
+        leaving = make_target("n0", 2, failure_domain="erie", leaving=True)
+        self.targets.apply_changes([("n0", leaving, 2)], 2, 1.0)
+        self.assertEqual(self.names(), {"n1"})
+        asked = [self.targets.targets["n1"].identity]
+        self.assertLessEqual(self.names(excluded=asked), {"f0", "f1"})
+
+    def test_unreachable_target_is_left_out_for_a_while(self):
+        self.placement.note_unreachable(self.targets.targets["n0"], 0.0)
+        self.assertEqual(self.names(), {"n1"})
+        self.assertIn("n0", self.names(now_s=1.0))
+
+    def test_node_that_stops_gets_nothing_more(self):
+        self.report_all()
+        self.report("n0", 0, stopping=True)
+        self.assertEqual(self.names(), {"n1"})
+
+    def test_target_that_fails_more_than_its_peers_is_ejected_and_tried_again(self):
+        target = self.targets.targets["n0"]
+        ejected = [self.placement.note_result(target, True, 0.0) for _ in range(8)]
+        self.assertEqual(ejected.count(True), 1)
+        self.assertEqual(self.names(), {"n1"})
+        self.assertIn("n0", self.names(now_s=3.0))
+
+    def test_nobody_is_ejected_when_all_fail_alike(self):
+        for _ in range(8):
+            for target in self.targets.targets.values():
+                self.assertFalse(self.placement.note_result(target, True, 0.0))
+
+    def test_slow_target_is_asked_again_once_its_report_is_old(self):
+        self.report_all()
+        self.report("n0", 0, work_s=3.0)
+        self.assertEqual(self.names(), {"n1"})
+        later_s = PROBE_AFTER_S + 0.1
+        self.report("n1", 1, now_s=later_s)
+        self.assertIn("n0", self.names(now_s=later_s))
+
+    def test_domain_cut_off_uses_what_it_reaches(self):
+        for name in ("f0", "f1"):
+            self.placement.note_unreachable(self.targets.targets[name], 0.0)
+        self.report("n0", 10, 60)
+        self.report("n1", 10, 60)
+        self.assertLessEqual(self.names(), {"n0", "n1"})
