Refuse calls in a node's last moments; notice suspensions; metrics port by flag

Cause: calls accepted in the last 150 ms of a stop could be cut off; the notice of pauses watched the loop's clock, which stands still in a suspension; an entry of another writer at a node's address set its number of slots. Ruled out: closing the callers' port early, as requesters leave only after two missed questions. Tests: test_slots_of_a_forged_entry_at_the_address_are_not_taken, red before.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -28,6 +28,9 @@
 # When a caller comes back to a node that has no configuration or reaches no target.
 NO_CONFIGURATION_RETRY_S = 0.5
 NO_TARGET_RETRY_S = 0.4
+# When a caller comes back that has reached a node in its last moments: its callers
+# have left it by then.
+STOPPING_RETRY_S = 0.2
 # A repeat must have at least this long left to be worth sending.
 MIN_REPEAT_S = 0.05
 # Share of what operators allow that this node's repeats use up at most. Every node
@@ -72,6 +75,7 @@
         self.random = random
         self.repeat_share = repeat_share
         self.configuration = None
+        self.refusing = False
         self.own_node = placement.own_node
         self.calls = {}
         self.attempts = {}
@@ -82,6 +86,8 @@
 
     def receive(self, event):
         """Route a call and send its first attempt."""
+        if self.refusing:
+            return self._refuse_new(event, 503, "node is stopping", STOPPING_RETRY_S)
         if self.configuration is None:
             return self._refuse_new(
                 event, 503, "no configuration yet", NO_CONFIGURATION_RETRY_S
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -73,6 +73,11 @@
         self.serving.stopping = True
         return [traffic.Decision("stopping", {"calls": len(self.calls.calls)})]
 
+    def refuse_all(self):
+        """Refuse all new calls and work, as the process is about to end."""
+        self.calls.refusing = True
+        self.serving.refusing = True
+
     def apply_configuration(self, configuration):
         """Put a configuration in force; return whether it is newer than the last.
 
--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -44,27 +44,32 @@
         self.stopping = False
         self.refusing = False
         self.listed = set()
+        self.confirmed = None
         self.leaving_s = {}
 
     def note_targets(self, now_s):
         """Take what the list says of the own target: its slots, and its leaving."""
-        present = set()
-        newest = None
-        for target in self.targets.targets.values():
-            if target.node_address != self.own_node:
-                continue
-            present.add(target.instance)
+        listed = [
+            target
+            for target in self.targets.targets.values()
+            if target.node_address == self.own_node
+        ]
+        for target in listed:
             if target.leaving:
                 self.leaving_s.setdefault(target.instance, now_s)
             else:
                 self.leaving_s.pop(target.instance, None)
-            if newest is None or target.revision > newest.revision:
-                newest = target
+        present = {target.instance for target in listed}
         for instance in self.listed - present:
             self.leaving_s.setdefault(instance, now_s)
         self.listed = present
-        if newest is not None:
-            self.queue.set_limit(newest.slots)
+        if listed:
+            # An entry of another writer may name this address, too.
+            best = max(listed, key=self._rate_entry)
+            self.queue.set_limit(best.slots)
+
+    def _rate_entry(self, target):
+        return (target.instance == self.confirmed, target.revision)
 
     def _is_left(self, instance, now_s):
         """Return whether a target has been leaving too long for new work."""
@@ -169,6 +174,8 @@
         waiter = self.queue.end(event.work_id, event.now_s, not event.declined)
         if waiter is None:
             return []
+        if not event.declined:
+            self.confirmed = waiter.event.instance
         if event.misdirected:
             reply = self._reply(
                 event,
--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -70,6 +70,13 @@
         """Stop to follow it."""
         for task in self._tasks:
             task.cancel()
+        self._tasks.clear()
+
+    def restart(self):
+        """Read everything anew, on new connections."""
+        self.stop()
+        self._reader.drop_connections()
+        self.start()
 
     async def _follow(self, name, step, pause_s):
         revision = None
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -250,9 +250,17 @@
 
     def apply_limits(self):
         """Keep idle connections as long as the configuration in force says."""
+        # A limit that has become shorter is not applied: callers that have not heard
+        # of it still use connections by the longer one.
         timeout_s = self._get_limits().idle_timeout_s + IDLE_SLACK_S
         for server in self.servers:
-            server.conn_params.header_timeout = timeout_s
+            longest_s = max(timeout_s, server.conn_params.header_timeout)
+            server.conn_params.header_timeout = longest_s
+
+    def drop_idle_connections(self):
+        """Close kept connections, which may be silent or outdated."""
+        for pool in (self.peer_pool, self.target_pool):
+            pool.close()
 
     def stop(self):
         """Close everything."""
@@ -260,8 +268,7 @@
             server.stop()
         for task in self._tasks:
             task.cancel()
-        self.peer_pool.close()
-        self.target_pool.close()
+        self.drop_idle_connections()
 
     def handle(self, event):
         """Reduce an event and run its effects.
--- a/balsamdeal/platform/__main__.py
+++ b/balsamdeal/platform/__main__.py
@@ -1,5 +1,6 @@
 """Runs a node on the users' platform: ``python3 -m balsamdeal.platform``."""
 
+import argparse
 import asyncio
 import sys
 
@@ -12,9 +13,31 @@
 EXIT_SETTINGS = 2
 
 
-def main():
-    """Run the node; return the exit code."""
-    read_settings = make_reader()
+def parse_arguments(argv=None):
+    """Return the arguments of the command line.
+
+    :param argv: the command line without the program's name.
+    """
+    parser = argparse.ArgumentParser(
+        prog="balsamdeal.platform",
+        description="One node on the users' platform; see its settings file.",
+    )
+    parser.add_argument(
+        "--metrics-port",
+        type=int,
+        default=0,
+        help="port for metrics, on the VM's address (default: none)",
+    )
+    return parser.parse_args(argv)
+
+
+def main(argv=None):
+    """Run the node; return the exit code.
+
+    :param argv: the command line without the program's name.
+    """
+    arguments = parse_arguments(argv)
+    read_settings = make_reader(arguments.metrics_port)
     try:
         settings = read_settings()
     except (KeyError, OSError, ValueError) as error:
--- a/balsamdeal/platform/settings.py
+++ b/balsamdeal/platform/settings.py
@@ -4,14 +4,10 @@
 import secrets
 from pathlib import Path
 
-from pydantic import Field
-
 from balsamdeal.platform.messages import Message
 from balsamdeal.proxysettings import ProxySettings
 
 PATH_VARIABLE = "BALSAMDEAL_BOOT"
-# The path is fixed by the deploy file's ``metrics``; the port is one of the nodes' own.
-METRICS_PORT_OFFSET = 0
 
 
 class ListenMessage(Message):
@@ -44,7 +40,6 @@
     service: str
     app_address: str
     listen: ListenMessage
-    inner_port_range: list[int] = Field(min_length=2)
     bounds: BoundsMessage = BoundsMessage()
     platform: PlatformMessage
 
@@ -54,17 +49,16 @@
     return Path(os.environ[PATH_VARIABLE])
 
 
-def make_reader(seed=None):
+def make_reader(metrics_port):
     """Return a function that reads the settings, with one seed for all times.
 
-    :param seed: the seed of random choices; None draws one.
+    :param metrics_port: the port for metrics; 0 for none.
     """
-    seed = secrets.randbits(63) if seed is None else seed
+    seed = secrets.randbits(63)
 
     def read():
         message = SettingsMessage.model_validate_json(get_path().read_bytes())
         ip = message.listen.inbound.rpartition(":")[0]
-        metrics_port = message.inner_port_range[0] + METRICS_PORT_OFFSET
         return ProxySettings(
             vm=message.node_name,
             region=message.region,
@@ -73,7 +67,7 @@
             caller_address=message.listen.outbound,
             node_address=message.listen.inbound,
             ready_address=message.listen.ready_address,
-            metrics_address=f"{ip}:{metrics_port}",
+            metrics_address=f"{ip}:{metrics_port}" if metrics_port else "",
             target_address=message.app_address,
             source_address=message.platform.address,
             stop_bound_s=message.bounds.grace_s,
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -43,6 +43,10 @@
         self._pool = ConnectionPool(MAX_ANSWER_BYTES)
         self._bad = {}
 
+    def drop_connections(self):
+        """Close idle connections to the store."""
+        self._pool.drop_idle(self._address)
+
     async def read_configuration(self):
         """Return the configuration or None, and the store's revision."""
         body = await self._get("kv-key", {"key": CONFIGURATION_KEY})
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -7,7 +7,7 @@
 from balsamdeal.core import traffic
 from balsamdeal.net.feed import Feed
 from balsamdeal.net.proxying import ProxyShell
-from balsamdeal.runtime import exempt_startup_objects
+from balsamdeal.runtime import exempt_startup_objects, read_boot_clock_s
 
 logger = logging.getLogger(__name__)
 
@@ -15,12 +15,14 @@
 # Callers hear of a stop by two missed questions for readiness, a second apart; what
 # they sent before that is on its way a little longer.
 LINGER_S = 3.2
-# Work of other nodes is refused this long before the end, so that none is lost.
+# Everything new is refused at once for this long before the end, so that none is lost.
 REFUSE_S = 0.15
 # The end comes this long before a kill.
 KILL_MARGIN_S = 0.4
 IDLE_POLL_S = 0.05
 SETTINGS_POLL_S = 1.0
+# A larger gap between the VM's clock and the loop's is a suspension, in seconds.
+SUSPENSION_S = 0.5
 
 
 async def drain(shell):
@@ -37,7 +39,7 @@
         await asyncio.sleep(IDLE_POLL_S)
     while not shell.proxy.is_idle() and loop.time() < bound_s:
         await asyncio.sleep(IDLE_POLL_S)
-    shell.proxy.serving.refusing = True
+    shell.proxy.refuse_all()
     await asyncio.sleep(REFUSE_S)
 
 
@@ -63,12 +65,16 @@
         return EXIT_ADDRESS
     feed = Feed(shell, make_reader(shell), settings.seed)
     feed.start()
-    follower = loop.create_task(_follow_settings(shell, reload, read_settings))
+    followers = [
+        loop.create_task(_follow_settings(shell, reload, read_settings)),
+        loop.create_task(_watch_suspensions(shell, feed)),
+    ]
     exempt_startup_objects()
     logger.info("started", extra={"service": settings.service})
     await stop.wait()
     await drain(shell)
-    follower.cancel()
+    for follower in followers:
+        follower.cancel()
     feed.stop()
     shell.stop()
     logger.info("stopped", extra={"idle": shell.proxy.is_idle()})
@@ -91,3 +97,18 @@
         if settings != shell.settings:
             shell.settings = settings
             logger.info("settings reloaded", extra={"service": settings.service})
+
+
+async def _watch_suspensions(shell, feed):
+    """After a suspension of the VM, read the source anew and leave old connections.
+
+    The loop's clock stands still in a suspension, so no timer tells of it.
+    """
+    gap_s = read_boot_clock_s() - shell.loop.time()
+    while True:
+        await asyncio.sleep(SUSPENSION_S)
+        before_s, gap_s = gap_s, read_boot_clock_s() - shell.loop.time()
+        if gap_s - before_s > SUSPENSION_S:
+            logger.warning("resumed", extra={"away_s": round(gap_s - before_s, 2)})
+            shell.drop_idle_connections()
+            feed.restart()
--- a/standins/server.py
+++ b/standins/server.py
@@ -58,7 +58,7 @@
         try:
             while await self._serve_one(reader, writer):
                 pass
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass  # the node has closed its connection
         finally:
             self._writers.discard(writer)
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -161,6 +161,14 @@
     def test_target_that_no_list_named_yet_is_served(self):
         self.assertEqual(self.started(self.receive(1, instance="new")), [1])
 
+    def test_slots_of_a_forged_entry_at_the_address_are_not_taken(self):
+        self.receive(1)
+        self.end(1, 0.1)
+        forged = make_target("forged", 9, slots=500, node_address="node-a")
+        self.targets.apply_changes([("forged", forged, 9)], 9, 1.0)
+        self.serving.note_targets(1.0)
+        self.assertEqual(self.serving.queue.limit, 2)
+
     def test_stopping_node_refuses_at_its_end(self):
         self.serving.refusing = True
         self.assertEqual(self.replies(self.receive(1)), [(1, traffic.NOT_RUN)])
--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -80,7 +80,7 @@
 
     def write_settings(self, index, **changes):
         """Write the settings file of a node; return its path."""
-        inbound, outbound, ready, metrics = self.ports
+        inbound, outbound, ready, _ = self.ports
         ip = self.get_ip(index)
         content = {
             "node-name": f"sidecar-{index}",
@@ -93,7 +93,6 @@
                 "outbound": f"{ip}:{outbound}",
                 "ready-address": f"{ip}:{ready}",
             },
-            "inner-port-range": [metrics, metrics],
             "bounds": {"grace-s": 6, "retry-budget-ratio": 0.2},
             "platform": {"address": self.store.address},
             **changes,
@@ -109,7 +108,13 @@
         import subprocess
 
         self.processes[index] = subprocess.Popen(
-            [sys.executable, "-m", "balsamdeal.platform"],
+            [
+                sys.executable,
+                "-m",
+                "balsamdeal.platform",
+                "--metrics-port",
+                str(self.ports[3]),
+            ],
             cwd=ROOT,
             env={**os.environ, "BALSAMDEAL_BOOT": str(path)},
             stdout=log,
