--- a/balsamdeal/core/waiting.py
+++ b/balsamdeal/core/waiting.py
@@ -19,13 +19,15 @@
 # Work waits for at most this share of its remaining objective: in a burst, and in a
 # load that lasts. A queue that never empties serves no more callers, it only makes all
 # of them late.
-BURST_WAIT_SHARE = 0.3
+BURST_WAIT_SHARE = 0.5
 STANDING_WAIT_SHARE = 0.08
 # A queue that has not been empty for this long is a standing one, in seconds.
 STANDING_S = 1.0
-# When a caller is asked back from a standing queue: callers honour up to a third of
-# their time, which is about this long for the most frequent ones.
-STANDING_RETRY_S = 1.0
+# When a caller is asked back that would not be in time anyway: callers honour up to a
+# third of their time, which is about this long for the most frequent ones.
+LATER_RETRY_S = 1.0
+# A caller that has spent less than this share of its objective is at its first attempt.
+FRESH_SHARE = 0.1
 # Work that is more urgent than other work of the target waits for up to this share of
 # its time though it will be late: targets that make calls of their own wait for them,
 # and hold slots for that long.
@@ -111,7 +113,7 @@
         )
         wait_s = self.estimate_wait_s(ahead)
         if wait_s > self._get_patience_s(event):
-            return None, self._suggest_return_s(event.now_s)
+            return None, self._suggest_return_s(event)
         self._arrivals += 1
         self.waiting[event.work_id] = waiter
         heapq.heappush(self._heap, (order, self._arrivals, event.work_id))
@@ -137,23 +139,30 @@
         """Return the longest wait that still serves the caller."""
         work_s = self._get_class_work_s(event)
         in_time_s = event.objective_left_s - TAIL_FACTOR * work_s
+        late_s = event.time_left_s - 2 * work_s
+        if event.rank < max(self.class_work_s, default=(event.rank,))[0]:
+            return min(late_s, URGENT_WAIT_SHARE * event.time_left_s)
         if in_time_s > 0:
             standing = self._is_standing(event.now_s)
             share = STANDING_WAIT_SHARE if standing else BURST_WAIT_SHARE
             return min(in_time_s, share * event.objective_left_s)
         # Its objective has passed: it may wait for a run within its time.
-        late_s = event.time_left_s - 2 * work_s
-        if event.rank < max(self.class_work_s, default=(event.rank,))[0]:
-            return min(late_s, URGENT_WAIT_SHARE * event.time_left_s)
         return min(late_s, LATE_WAIT_SHARE * work_s)
 
     def _is_standing(self, now_s):
         return now_s - self.empty_s > STANDING_S
 
-    def _suggest_return_s(self, now_s):
-        """Return when there will be room for one more, in seconds."""
-        if self._is_standing(now_s):
-            return STANDING_RETRY_S
+    def _suggest_return_s(self, event):
+        """Return when there will be room for one more, in seconds.
+
+        A caller that is refused for the first time in a burst may still be in time if
+        it is quick. One that was refused before, or meets a standing queue, does
+        better to wait for its end than to spend its last attempt on it.
+        """
+        spent_s = event.objective_s - event.objective_left_s
+        fresh = spent_s < FRESH_SHARE * event.objective_s
+        if not fresh or self._is_standing(event.now_s):
+            return LATER_RETRY_S
         wait_s = self.estimate_wait_s(len(self.waiting)) + self.get_work_s() / 2
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
