--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -36,6 +36,8 @@
 # A target that refused work is not asked again for work as urgent or less for this
 # long. In an overload this spares the target and its node most of the asking.
 REFUSAL_MEMORY_S = 0.12
+# The same for a target in another failure domain, where asking in vain is dear.
+FAR_REFUSAL_MEMORY_S = 0.4
 # Waits are expected above this share of a limit: arrivals are uneven, and some targets
 # slow down when they are nearly full.
 KNEE_SHARE = 0.85
@@ -81,6 +83,7 @@
         self.random = random
         self.views = {}
         self.runs_s = {}
+        self.urgent = frozenset()
 
     def get_view(self, target):
         """Return what is known of a target, made on first use."""
@@ -168,7 +171,9 @@
         view = self.get_view(target)
         if now_s >= view.refused_until_s or rank < view.refused_rank:
             view.refused_rank = rank
-        view.refused_until_s = now_s + REFUSAL_MEMORY_S
+        near = target.failure_domain == self.own_domain
+        memory_s = REFUSAL_MEMORY_S if near else FAR_REFUSAL_MEMORY_S
+        view.refused_until_s = now_s + memory_s
         view.retry_after_s = retry_after_s
 
     def get_retry_after_s(self, service, now_s):
@@ -177,6 +182,24 @@
         times = [view.retry_after_s for view in views if now_s < view.refused_until_s]
         return min(times, default=0.0)
 
+    def set_routes(self, configuration):
+        """Learn which routes are urgent: others of their services wait for them."""
+        last = {}
+        routes = [
+            route
+            for routes in configuration.hosts.values()
+            for route in routes.values()
+        ]
+        for route in routes:
+            for backend in route.backends:
+                known = last.get(backend.service, route.rank)
+                last[backend.service] = max(known, route.rank)
+        self.urgent = {
+            route.name
+            for route in routes
+            if all(route.rank < last[backend.service] for backend in route.backends)
+        }
+
     def estimate_s(self, target, now_s, route_name=""):
         """Return how long work sent now is expected to take at a target.
 
@@ -201,6 +224,8 @@
             # A target that has become slow replies late, but its attempts age.
             work_s = max(work_s, now_s - view.sent_sum_s / view.in_flight)
         run_s = self.runs_s.get(route_name, usual_s) * work_s / max(1e-3, usual_s)
+        if route_name in self.urgent:
+            present = min(present, limit)  # it goes before what waits there
         over = max(0.0, present + 1 - KNEE_SHARE * limit)
         # Among targets with room the emptier one is a little better.
         spread = 0.1 * min(1.0, present / limit)
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -87,6 +87,7 @@
         if known is not None and configuration.version <= known.version:
             return False
         self.calls.configuration = configuration
+        self.placement.set_routes(configuration)
         return True
 
     def note_targets(self, now_s):
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -6,7 +6,7 @@
 from balsamdeal.core.placement import PROBE_AFTER_S, Placement
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.traffic import NodeLoad
-from tests.core.test_routes import make_route
+from tests.core.test_routes import make_configuration, make_route
 from tests.core.test_targets import make_target
 
 
@@ -101,6 +101,14 @@
         self.report("n1", 1, now_s=later_s)
         self.assertIn("n0", self.names(now_s=later_s))
 
+    def test_urgent_work_stays_where_less_urgent_work_waits(self):
+        urgent = make_route("r", "/", rank=1)
+        other = make_route("other", "/other/", rank=2)
+        self.placement.set_routes(make_configuration(1, urgent, other))
+        for name in ("n0", "n1"):
+            self.report(name, 10, 60)
+        self.assertLessEqual(self.names(rank=1), {"n0", "n1"})
+
     def test_target_that_refused_is_spared_work_as_urgent_or_less(self):
         self.placement.note_refused(self.targets.targets["n0"], 2, 0.3, 0.0)
         self.assertNotIn("n0", self.names(now_s=0.05))
