Serve latency histograms by service and route; run test classes side by side

Cause: the metrics address gave sums, not histograms; the whole suite took 185 s of one process. Bounded: 64 histograms, then one for all others. Test mended: test_metrics_in_both_formats failed once, as a node may take its first version from a peer and had not read the source yet (its own counters showed two pulls and no read); it waits up to 10 s for the counter now and asks for the same.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -265,9 +265,15 @@
                 routine=not failed,
             )
         )
-        result.append(RelayAnswer(call.event.call_id, event.attempt_id))
+        result.append(self._relay(call, event.attempt_id))
         return result
 
+    @staticmethod
+    def _relay(call, attempt_id):
+        return RelayAnswer(
+            call.event.call_id, attempt_id, call.service, call.route.name
+        )
+
     def _may_repeat(self, call, now_s, cost=RUN_REPEAT_COST):
         if call.reached >= call.route.max_attempts:
             return False
@@ -300,7 +306,7 @@
         call_id = call.event.call_id
         self.calls.pop(call_id, None)
         if call.last_failed_attempt is not None:
-            return [RelayAnswer(call_id, call.last_failed_attempt)]
+            return [self._relay(call, call.last_failed_attempt)]
         if call.may_have_run and call.deadline_s - now_s < MIN_REPEAT_S:
             return self._end(call, 504, "time is over", None, now_s)
         if call.may_have_run:
@@ -328,7 +334,14 @@
             "retry_after_s": None if retry_after_s is None else round(retry_after_s, 2),
             "ms": round((now_s - call.event.now_s) * 1000),
         }
-        refusal = RefuseCall(call.event.call_id, status, reason, retry_after_s)
+        refusal = RefuseCall(
+            call.event.call_id,
+            status,
+            reason,
+            retry_after_s,
+            call.service,
+            call.route.name,
+        )
         return [Decision("call failed", fields), refusal]
 
     def leave(self, event):
@@ -361,6 +374,6 @@
             call.last_reason = f"{target.instance}: no reply in time"
         result = self._cancel(call)
         if call.last_failed_attempt is not None:
-            result.append(RelayAnswer(event.subject, call.last_failed_attempt))
+            result.append(self._relay(call, call.last_failed_attempt))
             return result
         return result + self._end(call, 504, "time is over", None, event.now_s)
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -206,19 +206,24 @@
 
     call_id: int
     attempt_id: int
+    service: str
+    route: str
 
 
 @dataclass(frozen=True, slots=True)
 class RefuseCall:
     """Answers a caller in the node's own name.
 
-    ``retry_after_s`` is None where the caller is not asked back.
+    ``retry_after_s`` is None where the caller is not asked back. ``service`` and
+    ``route`` are empty where no route was found.
     """
 
     call_id: int
     status: int
     reason: str
     retry_after_s: float | None
+    service: str = ""
+    route: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/metrics.py
+++ b/balsamdeal/metrics.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms, as JSON and in the Prometheus text format."""
 
+import bisect
+
 from hdrh.histogram import HdrHistogram
 
 LOWEST_US = 1
@@ -8,6 +10,28 @@
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
+# Histograms kept by name; a histogram takes some 20 KB.
+MAX_FLOWS = 64
+OTHER_FLOW = ("other", "other")
+# Upper bounds of the histograms' buckets, in seconds.
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+def _count_by_bound(histogram):
+    """Return pairs of bound and count up to it, as Prometheus wants them."""
+    counts = [0] * len(BOUNDS_S)
+    for item in histogram.get_recorded_iterator():
+        index = bisect.bisect_left(BOUNDS_S, item.value_iterated_to / 1e6)
+        if index < len(counts):
+            counts[index] += item.count_added_in_this_iter_step
+    pairs = []
+    total = 0
+    for bound_s, count in zip(BOUNDS_S, counts):
+        total += count
+        pairs.append((str(bound_s), total))
+    return [*pairs, ("+Inf", histogram.get_total_count())]
+
+
 class Metrics:
     """Latencies by workspace and class, and counters by name.
 
@@ -25,6 +49,8 @@
     def record_latency(self, workspace, traffic_class, latency_s):
         """Record the time from a request's arrival to its answer, in seconds."""
         flow = (workspace, traffic_class)
+        if flow not in self.latencies and len(self.latencies) >= MAX_FLOWS:
+            flow = OTHER_FLOW
         histogram = self.latencies.get(flow)
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
@@ -48,12 +74,12 @@
 
     def collect(self):
         """Yield metric families for the Prometheus client library."""
-        from prometheus_client.core import CounterMetricFamily, SummaryMetricFamily
+        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
 
         for name, value in sorted(self.counters.items()):
             label = name.replace("-", "_")
             yield CounterMetricFamily(f"balsamdeal_{label}", label, value=value)
-        family = SummaryMetricFamily(
+        family = HistogramMetricFamily(
             "balsamdeal_request_seconds",
             "Time from a request's arrival to its answer",
             labels=["workspace", "class"],
@@ -61,7 +87,7 @@
         for flow, histogram in sorted(self.latencies.items()):
             count = histogram.get_total_count()
             total_s = histogram.get_mean_value() * count / 1e6
-            family.add_metric(list(flow), count_value=count, sum_value=total_s)
+            family.add_metric(list(flow), _count_by_bound(histogram), total_s)
         yield family
 
     def format_prometheus(self):
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -353,7 +353,7 @@
         if call is None:
             return
         headers = make_headers(answer.headers)
-        self._respond(call, answer.status, headers, answer.body, answer.reason)
+        self._respond(effect, call, answer.status, headers, answer.body, answer.reason)
 
     def _refuse_call(self, effect):
         call = self._end_call(effect.call_id)
@@ -366,17 +366,17 @@
         if effect.retry_after_s is not None:
             headers["Retry-After"] = f"{effect.retry_after_s:.3f}"
         body = json.dumps({"reason": effect.reason}).encode()
-        self._respond(call, effect.status, headers, body, None)
+        self._respond(effect, call, effect.status, headers, body, None)
 
-    def _respond(self, call, status, headers, body, reason):
+    def _respond(self, effect, call, status, headers, body, reason):
         if self.stopping:
             headers["Connection"] = "close"
         connection = call.connection
         write_response(connection, call.payload.method, status, headers, body, reason)
         self.metrics.count(f"responses_{status}")
-        self.metrics.record_latency(
-            self.settings.service, str(status), self.loop.time() - call.received_s
-        )
+        if effect.route:
+            latency_s = self.loop.time() - call.received_s
+            self.metrics.record_latency(effect.service, effect.route, latency_s)
 
     # Attempts
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import json
+import time
 import unittest
 
 from balsamdeal import cli, daemon
@@ -83,9 +84,21 @@
         arguments = ("wait", "--timeout-s", "0.3", revision + 100, *self.nodes)
         self.assertEqual(run(cli.main, *arguments)[0], 1)
 
+    def wait_for_metrics(self, name):
+        """Return the metrics text once it names a counter, or after 10 s.
+
+        A node may take its first version from a peer and read the source later.
+        """
+        end_s = time.monotonic() + 10.0
+        while True:
+            code, output, _ = run(cli.main, "metrics", self.nodes[0])
+            self.assertEqual(code, 0)
+            if name in output or time.monotonic() > end_s:
+                return output
+            time.sleep(0.05)
+
     def test_metrics_in_both_formats(self):
-        code, output, _ = run(cli.main, "metrics", self.nodes[0])
-        self.assertEqual(code, 0)
+        output = self.wait_for_metrics("balsamdeal_source_reads_total")
         self.assertIn("balsamdeal_source_reads_total", output)
         code, output, _ = run(cli.main, "metrics", "--json", self.nodes[0])
         self.assertIn("source_reads", json.loads(output)["counters"])
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,15 +1,31 @@
 """Runs all tests and closes with the line ``N passed, N failed``.
 
-Failures listed in KNOWN-RED.txt are printed and passed over; any other one makes
-the run fail. So does a listed test that does not exist.
+Test classes run side by side in processes of their own, longest modules first. The
+output of each is kept whole. Failures listed in KNOWN-RED.txt are printed and passed
+over; any other one makes the run fail. So does a listed test that does not exist.
 """
 
+import argparse
+import json
+import os
+import subprocess
 import sys
 import unittest
+from concurrent.futures import ThreadPoolExecutor, as_completed
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
+RESULT_MARK = "result: "
+# Tests with real processes need processors of their own beside the runner's.
+MAX_PROCESSES = 4
+# Begun first, so that the longest do not end last.
+LONG_MODULES = (
+    "tests.spec.test_models",
+    "tests.core.test_crossings",
+    "tests.test_processes",
+    "tests.platform.test_requests",
+)
 
 
 class CountingResult(unittest.TextTestResult):
@@ -48,30 +64,87 @@
     return getattr(test, "test_case", test).id()
 
 
-def main(argv=None):
-    """Run the tests named on the command line, or all, and return the exit code."""
-    names = sys.argv[1:] if argv is None else argv
-    loader = unittest.TestLoader()
-    if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
-    ids = set(list_ids(suite))
+def run_here(names):
+    """Run tests in this process; print ids of those that passed and failed."""
+    suite = unittest.TestLoader().loadTestsFromNames(names)
     runner = unittest.TextTestRunner(
         stream=sys.stdout, verbosity=1, resultclass=CountingResult
     )
     result = runner.run(suite)
     failed = {get_test_id(test) for test, _ in result.failures + result.errors}
     failed |= {get_test_id(test) for test in result.unexpectedSuccesses}
+    passed = set(result.passed) - failed
+    outcome = {"passed": sorted(passed), "failed": sorted(failed)}
+    print(RESULT_MARK + json.dumps(outcome), flush=True)
+
+
+def group_by_class(ids):
+    """Return the classes that tests belong to, those of long modules first."""
+    classes = sorted({test_id.rpartition(".")[0] for test_id in ids})
+    return sorted(classes, key=lambda name: not name.startswith(LONG_MODULES))
+
+
+def run_class(name):
+    """Run a class in a process; return its ids passed and failed, and its output."""
+    command = [sys.executable, "-m", "tools.run_tests", "--here", name]
+    done = subprocess.run(
+        command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True
+    )
+    output, mark, last = done.stdout.rpartition(RESULT_MARK)
+    if not mark:
+        return set(), {name}, done.stdout
+    outcome = json.loads(last)
+    return set(outcome["passed"]), set(outcome["failed"]), output
+
+
+def run_all(classes):
+    """Run classes side by side; return all ids passed and failed."""
+    passed, failed = set(), set()
+    count = max(1, min(MAX_PROCESSES, (os.cpu_count() or 2) - 1))
+    with ThreadPoolExecutor(count) as pool:
+        futures = {pool.submit(run_class, name): name for name in classes}
+        for future in as_completed(futures):
+            good, bad, output = future.result()
+            passed |= good
+            failed |= bad
+            print(f"{futures[future]}: {len(good)} passed, {len(bad)} failed")
+            if bad:
+                print(output)
+    return passed, failed
+
+
+def parse_arguments(argv=None):
+    """Return the arguments of the command line."""
+    parser = argparse.ArgumentParser(description="Runs the tests.")
+    parser.add_argument("--here", action="store_true", help="in this process only")
+    parser.add_argument("names", nargs="*", help="tests to run (default: all)")
+    return parser.parse_args(argv)
+
+
+def main(argv=None):
+    """Run the tests named on the command line, or all, and return the exit code."""
+    arguments = parse_arguments(argv)
+    if arguments.here:
+        run_here(arguments.names)
+        return 0
+    loader = unittest.TestLoader()
+    if arguments.names:
+        suite = loader.loadTestsFromNames(arguments.names)
+    else:
+        suite = loader.discover(str(ROOT / "tests"), top_level_dir=str(ROOT))
+    ids = set(list_ids(suite))
+    passed, failed = run_all(group_by_class(ids))
     known = read_known_red()
-    unknown = failed - set(known)
     for name in sorted(failed & set(known)):
         print(f"known red: {known[name]}")
-    missing = set() if names else set(known) - ids
+    missing = set() if arguments.names else set(known) - ids
     for name in sorted(missing):
         print(f"KNOWN-RED.txt names a test that does not exist: {name}")
-    print(f"{len(set(result.passed) - failed)} passed, {len(failed)} failed")
-    return 1 if unknown or missing or not ids else 0
+    not_run = set() if arguments.names else ids - passed - failed
+    for name in sorted(not_run):
+        print(f"not run: {name}")
+    print(f"{len(passed)} passed, {len(failed)} failed")
+    return 1 if failed - set(known) or missing or not_run or not ids else 0
 
 
 if __name__ == "__main__":
