--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -103,20 +103,23 @@
             return self._refuse(
                 event, event.now_s, "queue would outlast its time", wait_s
             )
-        timer = SetTimer(WORK_TIMER, event.work_id, waiter.deadline_s + TIMEOUT_SLACK_S)
         if event.work_id in self.queue.waiting:
-            return [timer]
-        return [timer, self._start(waiter, event.now_s)]
+            return [SetTimer(WORK_TIMER, event.work_id, waiter.leave_s)]
+        return self._start(waiter, event.now_s)
 
     def _start(self, waiter, now_s):
         self.queue.start(waiter, now_s)
         event = waiter.event
-        return RunWork(
-            event.work_id,
-            event.instance,
-            event.idempotent,
-            max(0.0, waiter.deadline_s - now_s),
-        )
+        end_s = waiter.deadline_s + TIMEOUT_SLACK_S
+        return [
+            SetTimer(WORK_TIMER, event.work_id, end_s),
+            RunWork(
+                event.work_id,
+                event.instance,
+                event.idempotent,
+                max(0.0, waiter.deadline_s - now_s),
+            ),
+        ]
 
     def _refuse(self, event, now_s, reason, retry_after_s, unusable=False):
         load = self.make_load(now_s)
@@ -159,7 +162,7 @@
                     waiter.event, now_s, "target is leaving", 0.0, unusable=True
                 )
                 continue
-            result.append(self._start(waiter, now_s))
+            result += self._start(waiter, now_s)
 
     def abandon(self, event):
         """Forget work whose sender has left, and break off its run."""
@@ -237,7 +240,12 @@
         """End work whose time is over."""
         waiter = self.queue.leave(event.subject)
         if waiter is not None:
-            return self._refuse(waiter.event, event.now_s, "its time is over", 0.0)
+            return self._refuse(
+                waiter.event,
+                event.now_s,
+                "waited for too long",
+                self.queue.suggest_return_s(waiter.event),
+            )
         if self.queue.end(event.subject, event.now_s, False) is None:
             return []
         reply = self._reply(event, event.subject, UNKNOWN, True, "time is over")
--- a/balsamdeal/core/waiting.py
+++ b/balsamdeal/core/waiting.py
@@ -34,6 +34,9 @@
 URGENT_WAIT_SHARE = 0.4
 # Work that is late already waits for at most this share of a run.
 LATE_WAIT_SHARE = 0.1
+# Work that was taken for a wait leaves the queue after this many times the longest wait
+# that would have been taken: the target has become slow meanwhile.
+PATIENCE_FACTOR = 2.0
 # Weight of the newest run in the mean length of a run.
 WORK_GAIN = 0.1
 # Taken for the length of a run before one has ended.
@@ -45,12 +48,15 @@
 
 @dataclass(slots=True)
 class Waiter:
-    """Work at a target's node; ``started_s`` is None while it waits."""
+    """Work at a target's node; ``started_s`` is None while it waits.
+
+    ``leave_s`` is when it leaves the queue if it still waits then.
+    """
 
     event: object
     deadline_s: float
+    leave_s: float
     started_s: float | None = None
-    cancelled: bool = False
 
 
 def _get_class(event):
@@ -102,7 +108,8 @@
         :return: a pair: the ``Waiter``, or None where it is refused, and the time
             in seconds after which there will be room.
         """
-        waiter = Waiter(event, event.now_s + event.time_left_s)
+        deadline_s = event.now_s + event.time_left_s
+        waiter = Waiter(event, deadline_s, deadline_s)
         if not self.waiting:
             self.empty_s = event.now_s
             if len(self.running) < self.limit:
@@ -112,8 +119,11 @@
             1 for other in self.waiting.values() if self._precedes(other, order)
         )
         wait_s = self.estimate_wait_s(ahead)
-        if wait_s > self._get_patience_s(event):
-            return None, self._suggest_return_s(event)
+        patience_s = self._get_patience_s(event)
+        if wait_s > patience_s:
+            return None, self.suggest_return_s(event)
+        leave_s = event.now_s + PATIENCE_FACTOR * patience_s
+        waiter.leave_s = min(deadline_s, leave_s)
         self._arrivals += 1
         self.waiting[event.work_id] = waiter
         heapq.heappush(self._heap, (order, self._arrivals, event.work_id))
@@ -152,7 +162,7 @@
     def _is_standing(self, now_s):
         return now_s - self.empty_s > STANDING_S
 
-    def _suggest_return_s(self, event):
+    def suggest_return_s(self, event):
         """Return when there will be room for one more, in seconds.
 
         A caller that is refused for the first time in a burst may still be in time if
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -295,6 +295,7 @@
 
     def _set_timer(self, effect):
         key = (effect.kind, effect.subject)
+        self._clear_timer(*key)
         self._timers[key] = self.loop.call_at(effect.at_s, self._fire_timer, key)
 
     def _fire_timer(self, key):
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -94,6 +94,16 @@
         self.receive(4)
         self.assertEqual(self.started(self.end(1, 0.001)), [4])
 
+    def test_work_leaves_the_queue_when_the_target_has_become_slow(self):
+        self.fill()
+        timer = self.pick(self.receive(3), traffic.SetTimer)[0]
+        self.assertLess(timer.at_s, 0.6)
+        event = traffic.TimerFired("work", 3, timer.at_s)
+        effects = self.serving.time_out(event)
+        reply = self.pick(effects, traffic.ReplyWork)[0].reply
+        self.assertEqual(reply.outcome, traffic.NOT_RUN)
+        self.assertGreater(reply.retry_after_s, 0)
+
     def test_work_whose_time_is_over_while_it_waits_has_not_run(self):
         self.fill()
         self.receive(3)
