One short watch for configuration and targets

An answer lost on a connection that stays up leaves a watch of 25 s waiting; keep-alive probes are answered. Ruled out: an older version taken (none offered), a store that turned the node away (targets kept coming).

--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -14,19 +14,20 @@
 
 logger = logging.getLogger(__name__)
 
-# How long a watch waits for news. Keep-alive probes find a silent connection sooner.
-WATCH_S = 25.0
+# How long a watch waits for news. An answer may be lost on a connection that stays up,
+# so a watch that ends without news is the only sign that the source still talks to
+# this node. It must be noticed within the three seconds in which a node counts as calm.
+WATCH_S = 2.0
 # After news a watch pauses, so that a storm of changes becomes a few reads. It stays
 # far below the two seconds in which a configuration must be in force.
-CONFIGURATION_PAUSE_S = 0.8
-TARGETS_PAUSE_S = 0.5
+NEWS_PAUSE_S = 0.5
 # Full jitter between attempts: base, doubled with each failure up to the longest.
 RETRY_BASE_S = 0.1
 RETRY_MAX_S = 0.8
 # Entries cannot lapse in an outage shorter than this: it is below one heartbeat.
 SHORT_OUTAGE_S = 1.0
 # Failures that are noticed at once. Others may have begun long before.
-PROMPT_STEPS = frozenset({"read", REFUSED, "kv-watch", "kv-range", "kv-key"})
+PROMPT_STEPS = frozenset({"read", REFUSED, "answer"})
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,11 +42,27 @@
         return now_s - self.since_s > SHORT_OUTAGE_S or self.step not in PROMPT_STEPS
 
 
+@dataclass(frozen=True, slots=True)
+class News:
+    """What the source said: everything, or what has changed.
+
+    ``entries`` are pairs of name and ``Target`` or None, of the whole list; it is None
+    in the answer to a watch, which has ``changes``: triples of name, ``Target`` or
+    None, and revision. ``revision`` is where the next watch begins.
+    """
+
+    configuration: object
+    entries: list | None
+    changes: list
+    revision: int
+
+
 class Feed:
-    """Two loops that bring news to the request path.
+    """A loop that brings news to the request path.
 
     :param shell: the ``ProxyShell``.
-    :param reader: the source's client.
+    :param reader: the source's client, with ``read_all``, ``watch`` and
+        ``drop_connections``.
     :param seed: the seed of the jitter.
     """
 
@@ -53,24 +70,16 @@
         self._shell = shell
         self._reader = reader
         self._random = Random(seed)
-        self._tasks = []
+        self._task = None
         self._expiry = None
 
     def start(self):
         """Start to follow the source."""
-        loop = self._shell.loop
-        follow = (
-            ("configuration", self._step_configuration, CONFIGURATION_PAUSE_S),
-            ("targets", self._step_targets, TARGETS_PAUSE_S),
-        )
-        for name, step, pause_s in follow:
-            self._tasks.append(loop.create_task(self._follow(name, step, pause_s)))
+        self._task = self._shell.loop.create_task(self._follow())
 
     def stop(self):
         """Stop to follow it."""
-        for task in self._tasks:
-            task.cancel()
-        self._tasks.clear()
+        self._task.cancel()
 
     def restart(self):
         """Read everything anew, on new connections."""
@@ -78,49 +87,60 @@
         self._reader.drop_connections()
         self.start()
 
-    async def _follow(self, name, step, pause_s):
+    async def _follow(self):
         revision = None
-        failures = 0
         outage = None
+        failures = 0
         while True:
             try:
-                relist = failures > 0
-                long = relist and outage.is_long(self._shell.loop.time())
-                revision, changed = await step(None if relist else revision, long)
+                if revision is None:
+                    news = await self._reader.read_all()
+                else:
+                    news = await self._reader.watch(revision, WATCH_S)
             except HistoryLostError as error:
                 logger.info("source lost its history", extra={"reason": str(error)})
                 revision = None
                 await asyncio.sleep(RETRY_BASE_S)
                 continue
             except SourceError as error:
-                if not failures:
-                    outage = Outage(self._shell.loop.time(), error.step)
                 failures += 1
-                self._note_failure(name, failures, error)
-                bound_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**failures)
-                await asyncio.sleep(self._random.uniform(bound_s / 4, bound_s))
+                if outage is None:
+                    outage = Outage(self._shell.loop.time(), error.step)
+                    logger.warning("source is away", extra={"reason": str(error)})
+                self._shell.metrics.count("source_failures")
+                revision = None
+                await asyncio.sleep(self._draw_delay_s(failures))
                 continue
-            if failures:
-                logger.info("source is back", extra={"channel": name})
-                failures = 0
-            if changed:
-                await asyncio.sleep(pause_s)
-
-    def _note_failure(self, name, failures, error):
-        self._shell.metrics.count(f"source_failures_{name}")
-        if failures == 1:
-            reason = {"channel": name, "reason": str(error)}
-            logger.warning("source is away", extra=reason)
-
-    async def _step_configuration(self, revision, after_outage):
-        if revision is None:
-            found, revision = await self._reader.read_configuration()
-            found = [] if found is None else [found]
+            long = outage is not None and outage.is_long(self._shell.loop.time())
+            if outage is not None:
+                logger.info("source is back", extra={"long": long})
+                outage, failures = None, 0
+            revision = news.revision
+            if self._take(news, long):
+                await asyncio.sleep(NEWS_PAUSE_S)
+
+    def _draw_delay_s(self, failures):
+        bound_s = min(RETRY_MAX_S, RETRY_BASE_S * 2**failures)
+        return self._random.uniform(bound_s / 4, bound_s)
+
+    def _take(self, news, after_outage):
+        """Apply news; return whether there was any."""
+        if news.configuration is not None:
+            self._apply(news.configuration)
+        targets = self._shell.proxy.targets
+        now_s = self._shell.loop.time()
+        if news.entries is not None:
+            changed = targets.apply_listing(
+                news.entries, news.revision, after_outage, now_s
+            )
         else:
-            found, revision = await self._reader.watch_configuration(revision, WATCH_S)
-        for configuration in found:
-            self._apply(configuration)
-        return revision, bool(found)
+            changed = targets.apply_changes(news.changes, news.revision, now_s)
+        if changed or news.entries is not None:
+            self._note_targets(changed)
+        if targets.missing and self._expiry is None:
+            at_s = max(targets.missing.values())
+            self._expiry = self._shell.loop.call_at(at_s + 0.01, self._expire)
+        return changed or news.configuration is not None
 
     def _apply(self, configuration):
         shell = self._shell
@@ -137,23 +157,6 @@
             shell.metrics.count("older_configurations")
             logger.warning("older configuration ignored", extra=fields)
 
-    async def _step_targets(self, revision, after_outage):
-        shell = self._shell
-        targets = shell.proxy.targets
-        if revision is None:
-            entries, revision = await self._reader.list_targets()
-            changed = targets.apply_listing(
-                entries, revision, after_outage, shell.loop.time()
-            )
-        else:
-            changes, revision = await self._reader.watch_targets(revision, WATCH_S)
-            changed = targets.apply_changes(changes, revision, shell.loop.time())
-        self._note_targets(changed)
-        if targets.missing and self._expiry is None:
-            at_s = max(targets.missing.values())
-            self._expiry = shell.loop.call_at(at_s + 0.01, self._expire)
-        return revision, changed
-
     def _expire(self):
         self._expiry = None
         targets = self._shell.proxy.targets
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -14,6 +14,7 @@
     SourceError,
 )
 from balsamdeal.net.connections import ConnectionPool
+from balsamdeal.net.feed import News
 from balsamdeal.platform.messages import (
     ItemMessage,
     decode_configuration,
@@ -29,6 +30,8 @@
 # Time for an answer that waits for nothing. The store answers in milliseconds; slow
 # ones of up to a second are still worth having.
 READ_TIMEOUT_S = 2.0
+# How much longer than a watch waits its answer may take.
+WATCH_MARGIN_S = 0.7
 MAX_ANSWER_BYTES = 16_000_000
 
 
@@ -47,34 +50,25 @@
         """Close idle connections to the store."""
         self._pool.drop_idle(self._address)
 
-    async def read_configuration(self):
-        """Return the configuration or None, and the store's revision."""
+    async def read_all(self):
+        """Return ``News`` of the configuration and all targets."""
         body = await self._get("kv-key", {"key": CONFIGURATION_KEY})
-        if body is None:
-            return None, None
-        revision = self._get_revision(body)
-        return self._decode_configuration(self._parse_item(body)), revision
-
-    async def watch_configuration(self, after, wait_s):
-        """Return the newest configuration since a revision, in a list, and the next.
-
-        :param after: the revision.
-        :param wait_s: how long the store may wait for a change, in seconds.
-        """
-        items, revision = await self._watch(CONFIGURATION_KEY, after, wait_s)
-        items = [item for item in items if item and not item.deleted]
-        found = [self._decode_configuration(item) for item in items[-1:]]
-        return [item for item in found if item is not None], revision
-
-    async def list_targets(self):
-        """Return pairs of key and ``Target`` or None, and the revision."""
+        configuration = None
+        if body is not None:
+            configuration = self._decode_configuration(self._parse_item(body))
+        entries, revision = await self._list_targets()
+        if body is not None:
+            revision = min(revision, self._get_revision(body))
+        return News(configuration, entries, [], revision)
+
+    async def _list_targets(self):
         entries = {}
         revision = None
         query = {"path-prefix": SERVERS_PREFIX}
         while True:
             body = await self._get("kv-range", query)
             if body is None:
-                raise SourceError("no list", "read", self._address)
+                raise SourceError("no list", "answer", self._address)
             if revision is None:
                 # Pages are no snapshot: changes since the first are watched for.
                 revision = self._get_revision(body)
@@ -83,36 +77,40 @@
             for item in items:
                 entries[item.key] = self._decode_target(item)
             if not body.get("has-more") or not items:
-                return entries.items(), revision
+                return list(entries.items()), revision
             query["after"] = items[-1].key
 
-    async def watch_targets(self, after, wait_s):
-        """Return triples of key, ``Target`` or None and revision, and the next."""
-        items, revision = await self._watch(SERVERS_PREFIX, after, wait_s)
+    async def watch(self, after, wait_s):
+        """Return ``News`` since a revision, at once or when there is some.
+
+        One watch serves both: the empty prefix covers all keys, and a watch that waits
+        counts as a call.
+
+        :param after: the revision.
+        :param wait_s: how long the store may wait for a change, in seconds.
+        """
+        query = {"path-prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
+        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
+        if body is None:
+            raise SourceError("no answer to a watch", "answer", self._address)
+        items = [self._parse_item(item) for item in body.get("events", ())]
+        configuration = None
         changes = []
         for item in items:
-            if item is not None:
+            if item is None:
+                continue
+            if item.key == CONFIGURATION_KEY and not item.deleted:
+                configuration = self._decode_configuration(item) or configuration
+            elif item.key.startswith(SERVERS_PREFIX):
                 target = None if item.deleted else self._decode_target(item)
                 changes.append((item.key, target, item.revision))
-        return changes, revision
+        return News(configuration, None, changes, self._get_revision(body))
 
     @property
     def _address(self):
         return self._shell.settings.source_address
 
-    async def _watch(self, prefix, after, wait_s):
-        query = {
-            "path-prefix": prefix,
-            "after": after,
-            "wait-ms": int(wait_s * 1000),
-        }
-        body = await self._get("kv-watch", query, wait_s)
-        if body is None:
-            raise SourceError("no answer to a watch", "read", self._address)
-        items = [self._parse_item(item) for item in body.get("events", ())]
-        return items, self._get_revision(body)
-
-    async def _get(self, call, query, wait_s=0.0):
+    async def _get(self, call, query, timeout_s=READ_TIMEOUT_S):
         """Return the JSON body of an answer, or None for 404."""
         try:
             response = await self._pool.fetch(
@@ -120,7 +118,7 @@
                 "GET",
                 f"/api/{call}?{urlencode(query)}",
                 HTTPHeaders(),
-                timeout_s=wait_s + READ_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
         except ExchangeError as error:
             raise SourceError(error.message, error.step, error.peer) from error
@@ -131,19 +129,19 @@
         if response.status == GONE:
             raise HistoryLostError("history is gone", call, self._address)
         if response.status != 200:
-            raise SourceError(f"status {response.status}", call, self._address)
+            raise SourceError(f"status {response.status}", "answer", self._address)
         try:
             body = json.loads(response.body)
         except ValueError as error:
-            raise SourceError("not JSON", call, self._address) from error
+            raise SourceError("not JSON", "answer", self._address) from error
         if not isinstance(body, dict):
-            raise SourceError("not an object", call, self._address)
+            raise SourceError("not an object", "answer", self._address)
         return body
 
     def _get_revision(self, body):
         revision = body.get("current-rev")
         if not isinstance(revision, int):
-            raise SourceError("no revision", "read", self._address)
+            raise SourceError("no revision", "answer", self._address)
         return revision
 
     def _parse_item(self, content):
--- a/tests/net/test_feed.py
+++ b/tests/net/test_feed.py
@@ -7,7 +7,7 @@
 from balsamdeal.core.proxy import Proxy
 from balsamdeal.errors import HistoryLostError, SourceError
 from balsamdeal.metrics import Metrics
-from balsamdeal.net.feed import SHORT_OUTAGE_S, Feed, Outage
+from balsamdeal.net.feed import SHORT_OUTAGE_S, Feed, News, Outage
 from tests.core.test_routes import make_configuration, make_route
 from tests.core.test_targets import make_target
 
@@ -43,22 +43,16 @@
         if self.error is not None:
             raise self.error
 
-    async def read_configuration(self):
-        self.check()
-        return make_configuration(self.version, make_route("r", "/")), 1
-
-    async def watch_configuration(self, after, wait_s):
-        await self.wait()
-        return [make_configuration(self.version, make_route("r", "/"))], after + 1
-
-    async def list_targets(self):
+    async def read_all(self):
         self.check()
         self.lists += 1
-        return [(name, make_target(name, 1)) for name in self.names], 10
+        entries = [(name, make_target(name, 1)) for name in self.names]
+        configuration = make_configuration(self.version, make_route("r", "/"))
+        return News(configuration, entries, [], 10)
 
-    async def watch_targets(self, after, wait_s):
+    async def watch(self, after, wait_s):
         await self.wait()
-        return [], after
+        return News(None, None, [], after)
 
 
 class FeedTest(unittest.IsolatedAsyncioTestCase):
@@ -85,7 +79,7 @@
             await asyncio.sleep(0.01)
 
     async def fail_next(self, error):
-        await self.wait_for(lambda: self.reader.waiting == 2)
+        await self.wait_for(lambda: self.reader.waiting == 1)
         self.reader.error = error
         self.reader.wake()
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,10 +1,12 @@
 """Tests of the store's client against the stand-in."""
 
+import asyncio
 import unittest
 from types import SimpleNamespace
 
 from balsamdeal.errors import HistoryLostError, SourceError
 from balsamdeal.metrics import Metrics
+from balsamdeal.net.feed import WATCH_S
 from balsamdeal.platform.store import StoreReader
 from standins.store import Store
 from tests.platform.test_messages import make_configuration, make_entry, make_rule
@@ -32,49 +34,57 @@
     async def test_configuration(self):
         rule = make_rule("/a/", service="desk")
         self.store.put("op/config", make_configuration(3, rule))
-        configuration, revision = await self.reader.read_configuration()
-        self.assertEqual(configuration.version, 3)
+        news = await self.reader.read_all()
+        self.assertEqual(news.configuration.version, 3)
         self.store.put("op/config", make_configuration(5, rule))
-        found, _ = await self.reader.watch_configuration(revision, 1.0)
-        self.assertEqual([item.version for item in found], [5])
+        news = await self.reader.watch(news.revision, 1.0)
+        self.assertEqual(news.configuration.version, 5)
 
     async def test_no_configuration_yet(self):
-        self.assertEqual(await self.reader.read_configuration(), (None, None))
+        self.assertIsNone((await self.reader.read_all()).configuration)
 
     async def test_pages_of_servers(self):
         self.put_servers(8)
-        entries, revision = await self.reader.list_targets()
-        self.assertEqual(len(list(entries)), 8)
-        self.assertEqual(revision, self.store.revision)
+        news = await self.reader.read_all()
+        self.assertEqual(len(news.entries), 8)
+        self.assertEqual(news.revision, self.store.revision)
 
     async def test_watch_tells_changes_and_removals(self):
         self.put_servers(2)
-        _, revision = await self.reader.list_targets()
+        revision = (await self.reader.read_all()).revision
         self.store.delete("servers/i-0")
         self.store.put("servers/i-1", make_entry("10.0.0.1:80", state="draining"))
-        changes, _ = await self.reader.watch_targets(revision, 1.0)
+        changes = (await self.reader.watch(revision, 1.0)).changes
         self.assertIsNone(changes[0][1])
         self.assertTrue(changes[1][1].leaving)
 
     async def test_forged_entry_hides_no_other(self):
         self.put_servers(1)
         self.store.put("servers/forged", b"\xff\x00")
-        entries, _ = await self.reader.list_targets()
-        found = dict(entries)
+        found = dict((await self.reader.read_all()).entries)
         self.assertIsNone(found["servers/forged"])
         self.assertIsNotNone(found["servers/i-0"])
         self.assertEqual(self.metrics.counters["bad_entries"], 1)
 
     async def test_lost_history(self):
         self.put_servers(1)
-        _, revision = await self.reader.list_targets()
+        revision = (await self.reader.read_all()).revision
         self.store.put("servers/i-2", make_entry("10.0.0.2:80"))
         self.store.lose_history()
         with self.assertRaises(HistoryLostError):
-            await self.reader.watch_targets(revision, 1.0)
+            await self.reader.watch(revision, 1.0)
 
     async def test_refusals_and_resets_are_errors_of_the_source(self):
         for fault in (429, 503, "reset"):
             self.store.fault = fault
             with self.subTest(fault), self.assertRaises(SourceError):
-                await self.reader.list_targets()
+                await self.reader.read_all()
+
+    async def test_lost_answer_of_a_watch_is_noticed_soon(self):
+        revision = (await self.reader.read_all()).revision
+        self.store.fault = "silent"
+        began_s = asyncio.get_running_loop().time()
+        with self.assertRaises(SourceError):
+            await self.reader.watch(revision, WATCH_S)
+        # A node counts as calm three seconds after the last disturbance.
+        self.assertLess(asyncio.get_running_loop().time() - began_s, 3.0)
