--- a/balsamdeal/cli.py
+++ b/balsamdeal/cli.py
@@ -8,6 +8,7 @@
 import urllib.parse
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from balsamdeal.errors import BalsamdealError, ContentError
 from balsamdeal.folders import render_folder
@@ -72,9 +73,41 @@
     ]
 
 
+def read_published(path):
+    """Return the ``Configuration`` in a file of the platform's format.
+
+    :raises ContentError: when it is bad.
+    """
+    # Imported at first use: only operators of a platform need it.
+    from balsamdeal.platform.messages import decode_configuration
+
+    return decode_configuration(Path(path).read_bytes())
+
+
+def _validate_published(arguments):
+    configuration = read_published(arguments.folder)
+    summary = {
+        "valid": True,
+        "version": configuration.version,
+        "services": len(configuration.services),
+        "hosts": len(configuration.hosts),
+        "routes": sum(len(routes) for routes in configuration.hosts.values()),
+    }
+    if arguments.json:
+        print(json.dumps(summary))
+    else:
+        print(
+            f"valid: version {summary['version']}, {summary['services']} services, "
+            f"{summary['hosts']} hosts, {summary['routes']} routes"
+        )
+    return EXIT_OK
+
+
 def validate(arguments):
-    """Check a folder offline."""
+    """Check a folder, or a file as the platform publishes it, offline."""
     try:
+        if Path(arguments.folder).is_file():
+            return _validate_published(arguments)
         snapshot = render_folder(arguments.folder)
     except ContentError as error:
         fault = {"step": error.step, "part": error.peer, "reason": error.message}
@@ -155,8 +188,44 @@
     return EXIT_NEGATIVE if failed else EXIT_OK
 
 
+def _explain_published(arguments):
+    host = arguments.workspace
+    try:
+        configuration = read_published(arguments.node)
+    except ContentError as error:
+        print(f"{error.peer}: {error.step}: {error.message}", file=sys.stderr)
+        return EXIT_NEGATIVE
+    route = configuration.match(host, arguments.path)
+    answer = {"version": configuration.version}
+    if route is not None:
+        answer |= {
+            "route": route.name,
+            "prefix": route.prefix,
+            "services": {item.service: item.weight for item in route.backends},
+            "idempotent": route.idempotent,
+            "timeout_s": route.timeout_s,
+            "objective_s": route.objective_s,
+            "max_attempts": route.max_attempts,
+            "rank": route.rank,
+        }
+    if arguments.json:
+        print(json.dumps(answer, ensure_ascii=False))
+    elif route is None:
+        print(f"no route for {host}{arguments.path} in version {answer['version']}")
+    else:
+        parts = ", ".join(f"{name} {w:g}" for name, w in answer["services"].items())
+        kind = "idempotent" if route.idempotent else "not idempotent"
+        print(
+            f"{host}{arguments.path} -> {parts} by route {route.name} ({route.prefix}) "
+            f"of version {answer['version']}, {kind}, timeout {route.timeout_s:g} s"
+        )
+    return EXIT_OK if route is not None else EXIT_NEGATIVE
+
+
 def explain(arguments):
     """Print where a request would go."""
+    if Path(arguments.node).is_file():
+        return _explain_published(arguments)
     query = urllib.parse.urlencode(
         {
             "workspace": arguments.workspace,
@@ -240,15 +309,15 @@
         command.set_defaults(run=function)
         return command
 
-    command = add("validate", validate, "check a folder of templates, offline")
-    command.add_argument("folder")
+    command = add("validate", validate, "check a configuration, offline")
+    command.add_argument("folder", help="templates, or a file as a platform has it")
     command = add("render", render, "print the routes of a folder, offline")
     command.add_argument("folder")
     command = add("status", show_status, "print what each node runs")
     command.add_argument("nodes", nargs="+", help="operators' addresses, IP:port")
     command = add("explain", explain, "print where a request would go, and why")
-    command.add_argument("node", help="a node's operators' address")
-    command.add_argument("workspace")
+    command.add_argument("node", help="a node's operators' address, or a file")
+    command.add_argument("workspace", help="a workspace; with a file, a host")
     command.add_argument("path")
     command.add_argument("--method", default="GET")
     command = add("wait", wait, "wait until a revision is in force everywhere")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,10 +3,13 @@
 import contextlib
 import io
 import json
+import tempfile
 import time
 import unittest
+from pathlib import Path
 
 from balsamdeal import cli, daemon
+from tests.platform.test_messages import make_configuration, make_rule
 from tools.fleet import ROOT, Fleet
 
 LAKESHORE = ROOT / "examples" / "lakeshore"
@@ -34,6 +37,20 @@
         code, output, _ = run(cli.main, "validate", "--json", ROOT / "docs")
         self.assertEqual((code, json.loads(output)["fault"]["step"]), (1, "read"))
 
+    def test_file_of_the_platform(self):
+        rule = make_rule("/a/", service="desk")
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(make_configuration(0x1F, rule)))
+            code, output, _ = run(cli.main, "validate", "--json", path)
+            self.assertEqual((code, json.loads(output)["version"]), (0, 31))
+            arguments = ("explain", "--json", path, "shop.example")
+            code, output, _ = run(cli.main, *arguments, "/a/x")
+            self.assertEqual((code, json.loads(output)["route"]), (0, "rule /a/"))
+            self.assertEqual(run(cli.main, *arguments, "/b/")[0], 1)
+            path.write_text("{")
+            self.assertEqual(run(cli.main, "validate", path)[0], 1)
+
     def test_wrong_usage_exits_with_two(self):
         self.assertEqual(run(cli.main, "status")[0], 2)
         self.assertEqual(run(cli.main, "wait", "many", "127.0.0.1:1")[0], 2)
