--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 install: $(VENV)/installed
 
-$(VENV)/installed: pyproject.toml
+$(VENV)/installed: pyproject.toml requirements.txt
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check --editable '.[dev]'
 	touch $@
--- a/balsamdeal/net/forwarding.py
+++ b/balsamdeal/net/forwarding.py
@@ -137,7 +137,7 @@
             return
         exchange = Exchange()
         self._attempts[effect.attempt_id] = exchange
-        self._shell.spawn(self._exchange_attempt(effect, call.payload, exchange))
+        self._shell.tasks.spawn(self._exchange_attempt(effect, call.payload, exchange))
 
     def _hand_over(self, work_id, message, now_s):
         self._shell.handle(
@@ -279,7 +279,7 @@
         payload, _ = self._work[effect.work_id]
         exchange = Exchange()
         self._running[effect.work_id] = exchange
-        self._shell.spawn(self._exchange_target(effect, payload, exchange))
+        self._shell.tasks.spawn(self._exchange_target(effect, payload, exchange))
 
     async def _exchange_target(self, effect, payload, exchange):
         now = self._shell.loop.time
--- a/balsamdeal/net/peers.py
+++ b/balsamdeal/net/peers.py
@@ -28,15 +28,15 @@
 
     def send_view(self, effect):
         """Carry out ``SendView``."""
-        self._shell.spawn(self._exchange_view(effect))
+        self._shell.tasks.spawn(self._exchange_view(effect))
 
     def pull_delta(self, effect):
         """Carry out ``PullDelta``."""
-        self._shell.spawn(self._exchange_pull(effect))
+        self._shell.tasks.spawn(self._exchange_pull(effect))
 
     def send_inquiry(self, effect):
         """Carry out ``SendInquiry``."""
-        self._shell.spawn(self._exchange_inquiry(effect))
+        self._shell.tasks.spawn(self._exchange_inquiry(effect))
 
     async def _post(self, address, path, body, timeout_s):
         response = await self._shell.pool.fetch(
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -9,12 +9,7 @@
 import logging
 from dataclasses import dataclass
 
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-)
+from tornado.httputil import HTTPHeaders
 
 from balsamdeal.core import traffic
 from balsamdeal.core.calls import CALL_TIMER
@@ -25,7 +20,8 @@
 from balsamdeal.log import DecisionLog
 from balsamdeal.metrics import Metrics
 from balsamdeal.net import hops
-from balsamdeal.net.connections import ConnectionPool, Exchange, detect_silence
+from balsamdeal.net.answers import MISDIRECTED, check_answer, make_owner_check
+from balsamdeal.net.connections import ConnectionPool, Exchange
 from balsamdeal.net.messages import (
     HOP_HEADERS,
     Answer,
@@ -34,6 +30,8 @@
     make_headers,
     write_response,
 )
+from balsamdeal.net.reading import RequestServer, SilenceAwareServer
+from balsamdeal.net.tasks import Tasks
 
 logger = logging.getLogger(__name__)
 
@@ -73,107 +71,6 @@
     answer: object = None
 
 
-class RequestReader(HTTPMessageDelegate):
-    """Collects one request and hands it on once it is whole.
-
-    :param connection: the ``HTTP1Connection``.
-    :param limits: a function that returns the ``routes.Limits`` in force.
-    :param handle: takes the connection, the start line, the headers and the body.
-    """
-
-    def __init__(self, connection, limits, handle):
-        self._connection = connection
-        self._limits = limits
-        self._handle = handle
-        self._chunks = []
-        self._size = 0
-        self._refused = False
-
-    def headers_received(self, start_line, headers):
-        """Refuse what is larger than the limits allow."""
-        self._start_line = start_line
-        self._headers = headers
-        limits = self._limits()
-        size = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
-        if size + len(start_line.path) > limits.header_bytes:
-            self._refuse(431)
-        elif _parse_length(headers) > limits.body_bytes:
-            self._refuse(413)
-        if self._refused:
-            self._leave()
-
-    def _refuse(self, status):
-        self._refused = True
-        headers = HTTPHeaders({"Connection": "close"})
-        write_response(self._connection, "GET", status, headers, b"")
-
-    def _leave(self):
-        # What follows on the connection must not be taken for a request. Closing it
-        # is not enough: tornado would go on with what it has read already.
-        stream = self._connection.detach()
-        if stream is not None:
-            stream.close()
-
-    def data_received(self, chunk):
-        """Keep a piece of the body."""
-        if self._refused:
-            return
-        self._size += len(chunk)
-        if self._size > self._limits().body_bytes:
-            self._refuse(413)
-            return
-        self._chunks.append(chunk)
-
-    def finish(self):
-        """Hand the whole request on."""
-        if self._refused:
-            self._leave()
-            return
-        body = b"".join(self._chunks)
-        self._handle(self._connection, self._start_line, self._headers, body)
-
-    def on_connection_close(self):
-        """Forget a request that was cut short."""
-        self._chunks.clear()
-
-
-def _parse_length(headers):
-    text = headers.get("Content-Length", "0")
-    return int(text) if text.isdigit() else 0
-
-
-class RequestServer(HTTPServerConnectionDelegate):
-    """Makes a ``RequestReader`` for each request.
-
-    :param limits: see ``RequestReader``.
-    :param handle: see ``RequestReader``.
-    """
-
-    def __init__(self, limits, handle):
-        self._limits = limits
-        self._handle = handle
-
-    def start_request(self, server_conn, request_conn):
-        """Return the reader of a new request."""
-        return RequestReader(request_conn, self._limits, self._handle)
-
-
-def _keep_undelayed(value):
-    """Leave a connection as it is."""
-
-
-class SilenceAwareServer(HTTPServer):
-    """A server whose connections end when their other end is gone for good."""
-
-    def handle_stream(self, stream, address):
-        """Serve a new connection."""
-        detect_silence(stream.socket)
-        stream.set_nodelay(True)
-        # Tornado would switch it off and on with each message, by a system call each.
-        stream.set_nodelay = _keep_undelayed
-        super().handle_stream(stream, address)
-
-
 class ProxyShell:
     """Owns the reducer of the request path, its servers and its connections.
 
@@ -199,7 +96,7 @@
         self._kept_answers = {}
         self._work = {}
         self._timers = {}
-        self._tasks = set()
+        self._tasks = Tasks(self.loop, self.metrics.count)
         self._last_id = 0
         own = {
             name.lower()
@@ -272,8 +169,7 @@
         """Close everything."""
         for server in self.servers:
             server.stop()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         self.drop_idle_connections()
 
     def handle(self, event):
@@ -288,17 +184,6 @@
         self._last_id += 1
         return self._last_id
 
-    def _spawn(self, coroutine):
-        task = self.loop.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-
-    def _end_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("task failed", exc_info=task.exception())
-            self.metrics.count("task_errors")
-
     def _set_timer(self, effect):
         key = (effect.kind, effect.subject)
         self._clear_timer(*key)
@@ -394,7 +279,7 @@
             return
         exchange = Exchange()
         self._attempts[effect.attempt_id] = exchange
-        self._spawn(self._exchange_attempt(effect, payload, exchange))
+        self._tasks.spawn(self._exchange_attempt(effect, payload, exchange))
 
     def _start_local(self, effect, payload):
         work_id = self._next_id()
@@ -506,7 +391,7 @@
     def _run_work(self, effect):
         work = self._work[effect.work_id]
         work.exchange = Exchange()
-        self._spawn(self._exchange_work(effect, work))
+        self._tasks.spawn(self._exchange_work(effect, work))
 
     async def _exchange_work(self, effect, work):
         payload = work.payload
@@ -525,9 +410,9 @@
                 timeout_s=effect.time_left_s + REPLY_SLACK_S,
                 once=not effect.idempotent,
                 exchange=work.exchange,
-                is_own=self._make_owner_check(work.request_id),
+                is_own=make_owner_check(names, work.request_id),
             )
-            self._check_answer(response)
+            check_answer(response, names, self.settings.target_address)
         except ExchangeError as error:
             now_s = self.loop.time()
             self.handle(
@@ -536,35 +421,9 @@
             return
         self._take_target_answer(effect.work_id, work, response)
 
-    def _make_owner_check(self, request_id):
-        name = self.names.request_id
-        declined = self.names.declined
-
-        def is_own(status, headers):
-            echoed = headers.get(name)
-            if echoed is None:
-                return status == 421 or declined in headers
-            return echoed == request_id
-
-        return is_own
-
-    def _check_answer(self, response):
-        """Refuse bytes that cannot be the target's answer.
-
-        :raises ExchangeError: with what gives them away.
-        """
-        address = self.settings.target_address
-        if "Content-Encoding" in response.headers:
-            raise ExchangeError("encoded answer", "encoding", address, True)
-        success = 200 <= response.status < 300
-        if success and self.names.seal not in response.headers:
-            raise ExchangeError("success without a seal", "seal", address, True)
-        if 300 <= response.status < 400 or response.status < 200:
-            raise ExchangeError(f"status {response.status}", "status", address, True)
-
     def _take_target_answer(self, work_id, work, response):
         status = response.status
-        misdirected = status == 421
+        misdirected = status == MISDIRECTED
         declined = misdirected or self.names.declined in response.headers
         work.answer = response
         self.handle(
--- a/balsamdeal/net/shell.py
+++ b/balsamdeal/net/shell.py
@@ -17,6 +17,7 @@
 from balsamdeal.net.forwarding import Forwarding
 from balsamdeal.net.peers import PeerClient
 from balsamdeal.net.source import Source
+from balsamdeal.net.tasks import Tasks
 
 logger = logging.getLogger(__name__)
 
@@ -45,7 +46,7 @@
         self.exchanges = {}
         self._queue = deque()
         self._handling = False
-        self._tasks = set()
+        self.tasks = Tasks(self.loop, self.metrics.count)
         self._ticker = None
         self._runners = {
             effects.SetTimer: self._set_timer,
@@ -73,8 +74,7 @@
         """Stop the timer, the tasks and the connections."""
         if self._ticker is not None:
             self._ticker.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self.tasks.cancel()
         self.pool.close()
 
     def handle(self, event):
@@ -93,18 +93,6 @@
         finally:
             self._handling = False
 
-    def spawn(self, coroutine):
-        """Run a coroutine as a task that is kept until it ends."""
-        task = self.loop.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._end_task)
-
-    def _end_task(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("task failed", exc_info=task.exception())
-            self.metrics.count("task_errors")
-
     def _tick(self):
         self._ticker = self.loop.call_later(TICK_S, self._tick)
         self.handle(events.Ticked(self.loop.time()))
@@ -124,7 +112,7 @@
             respond(effect)
 
     def _read_source(self, effect):
-        self.spawn(self._fetch_source(effect))
+        self.tasks.spawn(self._fetch_source(effect))
 
     async def _fetch_source(self, effect):
         channel = effect.channel
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -1,6 +1,7 @@
 """Tests of the event loop that polls less often."""
 
 import asyncio
+import selectors
 import socket
 import unittest
 
@@ -10,26 +11,22 @@
 class PatientSelectorTest(unittest.TestCase):
     """Callbacks that are always ready must not keep I/O waiting."""
 
-    def test_polls_after_a_bounded_number_of_batches(self):
-        selector = PatientSelector()
-        self.addCleanup(selector.close)
+    def setUp(self):
+        self.selector = PatientSelector()
+        self.addCleanup(self.selector.close)
         one, other = socket.socketpair()
         self.addCleanup(one.close)
         self.addCleanup(other.close)
-        selector.register(one, 1)
+        self.selector.register(one, selectors.EVENT_READ)
         other.send(b"x")
-        found = [bool(selector.select(0)) for _ in range(MAX_SKIPPED_POLLS + 1)]
+
+    def test_polls_after_a_bounded_number_of_batches(self):
+        select = self.selector.select
+        found = [bool(select(0)) for _ in range(MAX_SKIPPED_POLLS + 1)]
         self.assertEqual(found, [False] * MAX_SKIPPED_POLLS + [True])
 
     def test_waits_when_nothing_is_ready(self):
-        selector = PatientSelector()
-        self.addCleanup(selector.close)
-        one, other = socket.socketpair()
-        self.addCleanup(one.close)
-        self.addCleanup(other.close)
-        selector.register(one, 1)
-        other.send(b"x")
-        self.assertTrue(selector.select(1.0))
+        self.assertTrue(self.selector.select(1.0))
 
     def test_timers_fire_beside_busy_callbacks(self):
         async def run():
