Drop kept connections to a node that does not reply in time

Cause: the caller's own timer ended an attempt before the exchange's, which alone dropped idle connections; each call to a node whose connections had gone silent lost its whole time on another one of them. Found by reading. Tests: tests/net/test_proxying.py.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -355,12 +355,12 @@
         result.append(Decision("caller left", fields, routine=True))
         return result + self._cancel(call)
 
-    def _cancel(self, call):
+    def _cancel(self, call, silent=False):
         if call.attempt_id is None:
             return []
         attempt_id = call.attempt_id
         self._end_attempt(attempt_id)
-        return [CancelAttempt(attempt_id)]
+        return [CancelAttempt(attempt_id, silent)]
 
     def time_out(self, event):
         """Answer a call whose time is over."""
@@ -370,7 +370,7 @@
         target = call.target
         if target is not None:
             call.last_reason = f"{target.instance}: no reply in time"
-        result = self._cancel(call)
+        result = self._cancel(call, silent=True)
         if call.last_failed_attempt is not None:
             result.append(self._relay(call, call.last_failed_attempt))
             return result
--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -249,4 +249,5 @@
         if self.queue.end(event.subject, event.now_s, False) is None:
             return []
         reply = self._reply(event, event.subject, UNKNOWN, True, "time is over")
-        return [CancelWork(event.subject), reply, *self._start_next(event.now_s)]
+        cancel = CancelWork(event.subject, silent=True)
+        return [cancel, reply, *self._start_next(event.now_s)]
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -195,9 +195,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Breaks an attempt off, so that the target's node hears of it."""
+    """Breaks an attempt off, so that the target's node hears of it.
+
+    ``silent`` if that node should have replied by now: other connections to it may be
+    silent, too.
+    """
 
     attempt_id: int
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,9 +250,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelWork:
-    """Breaks off work at the own target."""
+    """Breaks off work at the own target; ``silent`` as for ``CancelAttempt``."""
 
     work_id: int
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -105,9 +105,13 @@
 
 
 class Exchange:
-    """A handle to cancel an exchange by closing its connection."""
+    """A handle to cancel an exchange by closing its connection.
 
-    def __init__(self):
+    :param address: the peer's address, for whoever cancels it.
+    """
+
+    def __init__(self, address=""):
+        self.address = address
         self.stream = None
         self.step = "connect"
         self.cancelled = False
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -277,7 +277,7 @@
         if effect.local:
             self._start_local(effect, payload)
             return
-        exchange = Exchange()
+        exchange = Exchange(effect.node_address)
         self._attempts[effect.attempt_id] = exchange
         self._tasks.spawn(self._exchange_attempt(effect, payload, exchange))
 
@@ -356,6 +356,8 @@
         pending = self._attempts.pop(effect.attempt_id, None)
         if isinstance(pending, Exchange):
             pending.cancel()
+            if effect.silent:
+                self.peer_pool.drop_idle(pending.address)
         elif pending is not None:
             self._abandon_work(pending)
 
@@ -442,6 +444,8 @@
         work = self._work.get(effect.work_id)
         if work is not None and work.exchange is not None:
             work.exchange.cancel()
+        if effect.silent:
+            self.target_pool.drop_idle(self.settings.target_address)
 
     def _reply_work(self, effect):
         self._clear_timer(WORK_TIMER, effect.work_id)
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -151,10 +151,11 @@
         effects = self.calls.leave(traffic.CallerLeft(1, 0.2))
         cancelled = self.pick(effects, traffic.CancelAttempt)[0]
         self.assertEqual(cancelled.attempt_id, attempt.attempt_id)
+        self.assertFalse(cancelled.silent)
         self.assertEqual(self.reply(attempt, ANSWERED), [])
 
     def test_time_out_is_504_and_breaks_the_attempt_off(self):
         self.send()
         effects = self.calls.time_out(traffic.TimerFired("call", 1, 2.1))
         self.assertEqual(self.refusal(effects), 504)
-        self.assertTrue(self.pick(effects, traffic.CancelAttempt))
+        self.assertTrue(self.pick(effects, traffic.CancelAttempt)[0].silent)
--- /dev/null
+++ b/tests/net/test_proxying.py
@@ -0,0 +1,74 @@
+"""Tests of the request path's shell: silent connections, timers that are replaced."""
+
+import asyncio
+import unittest
+
+from balsamdeal.core import traffic
+from balsamdeal.net.connections import Exchange
+from balsamdeal.net.messages import HeaderNames
+from balsamdeal.net.proxying import ProxyShell
+from balsamdeal.proxysettings import ProxySettings
+
+NAMES = HeaderNames("Id", "Left-Ms", "Instance", "Service", "Seal", "Declined")
+
+
+def make_settings(**changes):
+    """Return settings of a node that opens no socket."""
+    fields = {
+        "vm": "vm-1",
+        "region": "lakes",
+        "failure_domain": "erie",
+        "service": "desk",
+        "caller_address": "127.0.0.1:1",
+        "node_address": "127.0.0.1:2",
+        "ready_address": "127.0.0.1:3",
+        "metrics_address": "",
+        "target_address": "127.0.0.1:4",
+        "source_address": "127.0.0.1:5",
+        "stop_bound_s": 6.0,
+        "repeat_share": 0.2,
+        "seed": 1,
+        **changes,
+    }
+    return ProxySettings(**fields)
+
+
+class ProxyShellTest(unittest.IsolatedAsyncioTestCase):
+    """Effects that need no peer."""
+
+    async def asyncSetUp(self):
+        self.shell = ProxyShell(make_settings(), NAMES)
+        self.addCleanup(self.shell.stop)
+        self.dropped = []
+        self.shell.peer_pool.drop_idle = self.dropped.append
+        self.shell.target_pool.drop_idle = self.dropped.append
+
+    def run_effect(self, effect):
+        self.shell._runners[type(effect)](effect)
+
+    async def test_silence_drops_all_kept_connections_to_a_node(self):
+        exchange = Exchange("10.0.0.9:8145")
+        self.shell._attempts[1] = exchange
+        self.run_effect(traffic.CancelAttempt(1, silent=True))
+        self.assertTrue(exchange.cancelled)
+        self.assertEqual(self.dropped, ["10.0.0.9:8145"])
+
+    async def test_caller_that_leaves_costs_no_other_connection(self):
+        self.shell._attempts[1] = Exchange("10.0.0.9:8145")
+        self.run_effect(traffic.CancelAttempt(1))
+        self.assertEqual(self.dropped, [])
+
+    async def test_silent_target_loses_its_kept_connections(self):
+        self.run_effect(traffic.CancelWork(1, silent=True))
+        self.assertEqual(self.dropped, ["127.0.0.1:4"])
+
+    async def test_later_timer_replaces_the_earlier_one(self):
+        fired = []
+        self.shell.handle = fired.append
+        now_s = self.shell.loop.time()
+        self.run_effect(traffic.SetTimer("work", 7, now_s + 0.01))
+        self.run_effect(traffic.SetTimer("work", 7, now_s + 0.05))
+        await asyncio.sleep(0.03)
+        self.assertEqual(fired, [])
+        await asyncio.sleep(0.05)
+        self.assertEqual([event.subject for event in fired], [7])
