Take the usual time of a route's callers for their first attempt, not the longest

Cause: a few patient callers would have made all others look late, and the first to be refused. Test: test_patient_callers_do_not_make_others_look_late, red before.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -33,6 +33,8 @@
 STOPPING_RETRY_S = 0.2
 # A repeat must have at least this long left to be worth sending.
 MIN_REPEAT_S = 0.05
+# Values after which the counts of a usual one are halved, so that it can change.
+USUAL_WINDOW = 200
 # Share of what operators allow that this node's repeats use up at most. Every node
 # keeps to its part of the same share, so the fleet does, whatever its size.
 BUDGET_USE = 0.7
@@ -41,6 +43,26 @@
 DECLINED_REPEAT_COST = 1.0
 
 
+class UsualValue:
+    """The most frequent one of the values that were seen lately."""
+
+    def __init__(self):
+        self.value = 0.0
+        self._counts = {}
+        self._total = 0
+
+    def note(self, value):
+        """Count a value."""
+        self._counts[value] = count = self._counts.get(value, 0) + 1
+        if count > self._counts.get(self.value, 0):
+            self.value = value
+        self._total += 1
+        if self._total >= USUAL_WINDOW:
+            halved = {item: n // 2 for item, n in self._counts.items() if n > 1}
+            self._counts = halved
+            self._total = sum(halved.values())
+
+
 @dataclass(slots=True)
 class Call:
     """A caller's request without an answer; it keeps the route that it began on."""
@@ -79,7 +101,7 @@
         self.calls = {}
         self.attempts = {}
         self.budgets = {}
-        self.longest_s = {}
+        self.usual_times = {}
         self._shares = WeightedChoice()
         self._next_attempt = 0
 
@@ -113,16 +135,16 @@
     def _estimate_elapsed_s(self, route, time_left_s):
         """Return how long a caller has been trying.
 
-        Callers of a route give the same time at their first attempt, so one that
-        gives less has spent the difference.
+        Most callers of a route give the same time at their first attempt, so one that
+        gives less has spent the difference. A few may be more patient than the rest.
         """
         if time_left_s is None:
             return 0.0
-        longest_s = self.longest_s.get(route.prefix, 0.0)
-        if time_left_s >= longest_s:
-            self.longest_s[route.prefix] = time_left_s
-            return 0.0
-        return longest_s - time_left_s
+        usual = self.usual_times.get(route.prefix)
+        if usual is None:
+            usual = self.usual_times[route.prefix] = UsualValue()
+        usual.note(time_left_s)
+        return max(0.0, usual.value - time_left_s)
 
     def _get_budget(self, service):
         budget = self.budgets.get(service)
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -84,6 +84,13 @@
         self.assertAlmostEqual(attempt.objective_left_s, 0.3)
         self.assertEqual(attempt.objective_s, 0.5)
 
+    def test_patient_callers_do_not_make_others_look_late(self):
+        for call_id in range(1, 100):
+            time_left_s = 9.0 if call_id % 20 == 5 else 3.0
+            self.send(time_left_s=time_left_s, call_id=call_id)
+        attempt = self.send(time_left_s=3.0, call_id=100)
+        self.assertAlmostEqual(attempt.objective_left_s, 0.5)
+
     def test_refused_work_goes_to_another_target_also_if_it_may_run_once(self):
         first = self.send("/once/1")
         second = self.pick(self.reply(first, REFUSED), traffic.SendAttempt)[0]
