--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -23,11 +23,10 @@
 LONG_MODULES = (
     "tests.spec.test_models",
     "tests.core.test_crossings",
-    "tests.test_processes",
     "tests.platform.test_requests",
 )
-# A load of 2000 calls a second on one node leaves no processor for others.
-ALONE = ("tests.test_processes.OverloadTest",)
+# Fleets of real processes under load leave no processor for other tests.
+ALONE = ("tests.test_processes.",)
 
 
 class CountingResult(unittest.TextTestResult):
