--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -42,6 +42,8 @@
 IDLE_ONCE_S = 1.0
 # Largest heads that are read at all; above the configured limit they get 431.
 MAX_HEAD_BYTES = 262_144
+# Idle connections are kept this much longer than the limit, so that a request on its
+# way at the limit still arrives.
 IDLE_SLACK_S = 1.0
 
 
