A stopping node takes late requests only if they end before it does

Now: everything for 3 s, which callers need to leave; after that what ends in time, the rest is refused at once as not run. Tests: test_stopping_node_takes_late_calls_only_if_ they_end_in_time and the same for work, red before.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -97,6 +97,7 @@
         self.repeat_share = repeat_share
         self.configuration = None
         self.refusing = False
+        self.stop = None
         self.own_node = placement.own_node
         self.calls = {}
         self.attempts = {}
@@ -119,6 +120,8 @@
         left_s = route.timeout_s
         if event.time_left_s is not None:
             left_s = min(left_s, event.time_left_s)
+        if self.stop is not None and not self.stop.takes(event.now_s, left_s):
+            return self._refuse_new(event, 503, "node is stopping", STOPPING_RETRY_S)
         elapsed_s = self._estimate_elapsed_s(route, event.time_left_s)
         call = Call(
             event,
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -70,7 +70,8 @@
         return self._timers[event.kind](event)
 
     def _stop(self, event):
-        self.serving.stopping = True
+        self.serving.stop = event
+        self.calls.stop = event
         return [traffic.Decision("stopping", {"calls": len(self.calls.calls)})]
 
     def refuse_all(self):
--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -41,7 +41,7 @@
         self.targets = targets
         self.own_node = own_node
         self.queue = Queue(DEFAULT_SLOTS)
-        self.stopping = False
+        self.stop = None
         self.refusing = False
         self.listed = set()
         self.confirmed = None
@@ -85,12 +85,14 @@
             queue.limit,
             queue.observe_work_s(now_s),
             queue.estimate_wait_s(len(queue.waiting)),
-            self.stopping,
+            self.stop is not None,
         )
 
     def receive(self, event):
         """Run, queue or refuse work."""
-        if self.refusing:
+        stop = self.stop
+        late = stop is not None and not stop.takes(event.now_s, event.time_left_s)
+        if self.refusing or late:
             return self._refuse(
                 event, event.now_s, "node is stopping", 0.0, unusable=True
             )
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -159,10 +159,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process was asked to end."""
+    """The process was asked to end, and does so at ``end_s`` at the latest.
 
+    Up to ``open_until_s`` it takes everything, as callers have not heard of it yet;
+    after that only what ends in time.
+    """
+
+    open_until_s: float
+    end_s: float
     now_s: float
 
+    def takes(self, now_s, time_left_s):
+        """Return whether something new is taken that may last for so long."""
+        return now_s <= self.open_until_s or now_s + time_left_s <= self.end_s
+
 
 # Effects
 
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -15,6 +15,9 @@
 # Callers hear of a stop by two missed questions for readiness, a second apart; what
 # they sent before that is on its way a little longer.
 LINGER_S = 3.2
+# Everything is taken for this long after a request to stop. Later ones must end before
+# the process does.
+OPEN_S = 3.0
 # Everything new is refused at once for this long before the end, so that none is lost.
 REFUSE_S = 0.15
 # The end comes this long before a kill.
@@ -34,7 +37,8 @@
     bound_s = loop.time() + shell.settings.stop_bound_s - KILL_MARGIN_S - REFUSE_S
     linger_s = min(loop.time() + LINGER_S, bound_s)
     shell.stopping = True
-    shell.handle(traffic.StopRequested(loop.time()))
+    open_until_s = min(loop.time() + OPEN_S, bound_s)
+    shell.handle(traffic.StopRequested(open_until_s, bound_s, loop.time()))
     while loop.time() < linger_s:
         await asyncio.sleep(IDLE_POLL_S)
     while not shell.proxy.is_idle() and loop.time() < bound_s:
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -153,6 +153,13 @@
         self.assertLessEqual(repeats, 0.2 * 1000)
         self.assertGreater(repeats, 0)
 
+    def test_stopping_node_takes_late_calls_only_if_they_end_in_time(self):
+        self.calls.stop = traffic.StopRequested(3.0, 5.0, 0.0)
+        self.send(now_s=2.9, call_id=1)
+        self.send(now_s=3.2, time_left_s=1.0, call_id=2)
+        effects = self.receive(now_s=4.5, time_left_s=1.0, call_id=3)
+        self.assertEqual(self.refusal(effects), 503)
+
     def test_caller_that_leaves_breaks_its_attempt_off(self):
         attempt = self.send()
         effects = self.calls.leave(traffic.CallerLeft(1, 0.2))
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -179,6 +179,15 @@
         self.serving.note_targets(1.0)
         self.assertEqual(self.serving.queue.limit, 2)
 
+    def test_stopping_node_takes_late_work_only_if_it_ends_in_time(self):
+        self.serving.stop = traffic.StopRequested(3.0, 5.0, 0.0)
+        self.assertEqual(self.started(self.receive(1, 2.9, time_left_s=4.0)), [1])
+        self.assertEqual(self.started(self.receive(2, 3.5, time_left_s=1.4)), [2])
+        effects = self.receive(3, 4.0, time_left_s=1.4)
+        reply = self.pick(effects, traffic.ReplyWork)[0].reply
+        self.assertEqual((reply.outcome, reply.unusable), (traffic.NOT_RUN, True))
+        self.assertTrue(self.serving.make_load(4.0).stopping)
+
     def test_stopping_node_refuses_at_its_end(self):
         self.serving.refusing = True
         self.assertEqual(self.replies(self.receive(1)), [(1, traffic.NOT_RUN)])
