Remember a refusal of late work for late work only

Cause: the incident of Olomouc, by its logs: of 3,900 calls refused, four in five were refused without asking (asked 0), as a target had just refused other work of the rank. Late work is refused sooner, and kept away work that could be in time. New: test_refusal_of_late_work_does_not_keep_work_away.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -237,9 +237,10 @@
         if reply.outcome == NOT_RUN:
             self._note_return(call, reply.retry_after_s)
             if not (reply.reached or reply.unusable):
-                self.placement.note_refused(
-                    target, call.route.rank, reply.retry_after_s, now_s
+                order = self.placement.get_order(
+                    call.route, call.objective_at_s - now_s
                 )
+                self.placement.note_refused(target, order, reply.retry_after_s, now_s)
             if not reply.reached or self._may_repeat(call, now_s, DECLINED_REPEAT_COST):
                 return result + self._send(call, now_s)
             return result + self._give_up(call, now_s)
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -64,7 +64,7 @@
     unreachable_count: int = 0
     out_until_s: float = -math.inf
     stopping_until_s: float = -math.inf
-    refused_rank: int = 0
+    refused_order: tuple = (0, False)
     refused_until_s: float = -math.inf
     retry_after_s: float = 0.0
 
@@ -169,11 +169,19 @@
         delay_s = min(delay_s, UNREACHABLE_MAX_S) * self.random.uniform(0.75, 1.25)
         view.out_until_s = max(view.out_until_s, now_s + delay_s)
 
-    def note_refused(self, target, rank, retry_after_s, now_s):
-        """Remember that a target had no room for work of a rank."""
+    def get_order(self, route, objective_left_s):
+        """Return the place of work in a queue: rank, then whether it is late."""
+        return (route.rank, objective_left_s < self.runs_s.get(route.name, 0.0))
+
+    def note_refused(self, target, order, retry_after_s, now_s):
+        """Remember that a target had no room for work of an order.
+
+        Late work is refused sooner than work that can be in time, so its refusal says
+        nothing of that.
+        """
         view = self.get_view(target)
-        if now_s >= view.refused_until_s or rank < view.refused_rank:
-            view.refused_rank = rank
+        if now_s >= view.refused_until_s or order < view.refused_order:
+            view.refused_order = order
         near = target.failure_domain == self.own_domain
         memory_s = REFUSAL_MEMORY_S if near else FAR_REFUSAL_MEMORY_S
         view.refused_until_s = now_s + memory_s
@@ -264,10 +272,9 @@
         :param now_s: the loop's time in seconds.
         """
         usable = self._list_usable(service, excluded, now_s)
+        order = self.get_order(route, objective_left_s)
         open_ = [
-            target
-            for target in usable
-            if not self._is_refusing(target, route.rank, now_s)
+            target for target in usable if not self._is_refusing(target, order, now_s)
         ]
         near = [item for item in open_ if item.failure_domain == self.own_domain]
         far = [item for item in open_ if item.failure_domain != self.own_domain]
@@ -284,9 +291,9 @@
         served_here = any(item.failure_domain == self.own_domain for item in usable)
         return None if served_here else other
 
-    def _is_refusing(self, target, rank, now_s):
+    def _is_refusing(self, target, order, now_s):
         view = self.get_view(target)
-        return now_s < view.refused_until_s and rank >= view.refused_rank
+        return now_s < view.refused_until_s and order >= view.refused_order
 
     def _list_usable(self, service, excluded, now_s):
         listed = [
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -110,11 +110,19 @@
         self.assertLessEqual(self.names(rank=1), {"n0", "n1"})
 
     def test_target_that_refused_is_spared_work_as_urgent_or_less(self):
-        self.placement.note_refused(self.targets.targets["n0"], 2, 0.3, 0.0)
+        order = (2, False)
+        self.placement.note_refused(self.targets.targets["n0"], order, 0.3, 0.0)
         self.assertNotIn("n0", self.names(now_s=0.05))
         self.assertIn("n0", self.names(now_s=0.05, rank=1))
         self.assertIn("n0", self.names(now_s=0.2))
 
+    def test_refusal_of_late_work_does_not_keep_work_away_that_can_be_in_time(self):
+        self.placement.note_run(self.targets.targets["n0"], "r", 0.2)
+        order = self.placement.get_order(make_route("r", "/"), -0.1)
+        self.placement.note_refused(self.targets.targets["n0"], order, 0.3, 0.0)
+        self.assertIn("n0", self.names(now_s=0.05, objective_s=0.5))
+        self.assertNotIn("n0", self.names(now_s=0.05, objective_s=0.1))
+
     def test_target_that_has_become_slow_shows_by_the_age_of_its_attempts(self):
         self.report_all()
         for _ in range(3):
