Keep work from a server that holds another's address

After all servers were replaced and their addresses used again, each attempt at an old entry reached the new server, which answered 421; such arrivals count. Ruled out: repeats of failed runs (their budget allows 290 in that time); calls of servers not counted among the requests (5888 requests in 10 s include them). Now: the node in front refuses work for a name that its server has denied for 3 s, what waits included. Test: test_work_for_a_server_that_is_not_there_any_more_reaches_no_other, red before.

--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -26,6 +26,12 @@
 # New work runs at a leaving target for this long after its node has heard of it, as
 # nodes that have not heard yet still send some. Operators allow two seconds.
 LEAVING_S = 1.0
+# A target whose address another server holds is not asked again for this long: each
+# attempt counts against retry budgets. Two reports of a server that is back fit in.
+MISDIRECTED_S = 3.0
+# How long the names of targets are kept that have left the list: nodes with an old
+# list send work for them much shorter.
+FORGET_S = 120.0
 # When work that a target declined or could not be reached for is asked back.
 UNREACHABLE_RETRY_S = 0.3
 
@@ -46,6 +52,7 @@
         self.listed = set()
         self.confirmed = None
         self.leaving_s = {}
+        self.misdirected_s = {}
 
     def note_targets(self, now_s):
         """Take what the list says of the own target: its slots, and its leaving."""
@@ -63,18 +70,31 @@
         for instance in self.listed - present:
             self.leaving_s.setdefault(instance, now_s)
         self.listed = present
+        self._forget_gone(now_s)
         if listed:
             # An entry of another writer may name this address, too.
             best = max(listed, key=self._rate_entry)
             self.queue.set_limit(best.slots)
 
+    def _forget_gone(self, now_s):
+        """Drop what is known of targets that have been gone for long."""
+        for known in (self.leaving_s, self.misdirected_s):
+            for instance in [name for name in known if name not in self.listed]:
+                if now_s - known[instance] > FORGET_S:
+                    del known[instance]
+
     def _rate_entry(self, target):
         return (target.instance == self.confirmed, target.revision)
 
-    def _is_left(self, instance, now_s):
-        """Return whether a target has been leaving too long for new work."""
+    def _explain_absence(self, instance, now_s):
+        """Return why a target gets no new work, or None."""
         since_s = self.leaving_s.get(instance)
-        return since_s is not None and now_s - since_s > LEAVING_S
+        if since_s is not None and now_s - since_s > LEAVING_S:
+            return "target is leaving"
+        since_s = self.misdirected_s.get(instance)
+        if since_s is not None and now_s - since_s < MISDIRECTED_S:
+            return "another server has the address"
+        return None
 
     def make_load(self, now_s):
         """Return the ``NodeLoad`` that goes with each reply."""
@@ -96,10 +116,9 @@
             return self._refuse(
                 event, event.now_s, "node is stopping", 0.0, unusable=True
             )
-        if self._is_left(event.instance, event.now_s):
-            return self._refuse(
-                event, event.now_s, "target is leaving", 0.0, unusable=True
-            )
+        reason = self._explain_absence(event.instance, event.now_s)
+        if reason is not None:
+            return self._refuse(event, event.now_s, reason, 0.0, unusable=True)
         waiter, wait_s = self.queue.admit(event)
         if waiter is None:
             return self._refuse(
@@ -159,10 +178,9 @@
                 )
             if waiter is None:
                 return result
-            if self._is_left(waiter.event.instance, now_s):
-                result += self._refuse(
-                    waiter.event, now_s, "target is leaving", 0.0, unusable=True
-                )
+            reason = self._explain_absence(waiter.event.instance, now_s)
+            if reason is not None:
+                result += self._refuse(waiter.event, now_s, reason, 0.0, unusable=True)
                 continue
             result += self._start(waiter, now_s)
 
@@ -182,6 +200,7 @@
         if not event.declined:
             self.confirmed = waiter.event.instance
         if event.misdirected:
+            self.misdirected_s[waiter.event.instance] = event.now_s
             reply = self._reply(
                 event,
                 event.work_id,
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -141,6 +141,20 @@
         reply = self.pick(effects, traffic.ReplyWork)[0].reply
         self.assertEqual((reply.outcome, reply.unusable), (traffic.NOT_RUN, True))
 
+    def test_work_for_a_server_that_is_not_there_any_more_reaches_no_other(self):
+        self.fill()
+        self.receive(3)
+        effects = self.end(1, 0.01, declined=True, misdirected=True)
+        # The waiting one is refused along, and so is what comes later.
+        self.assertEqual(self.started(effects), [])
+        self.assertIn((3, traffic.NOT_RUN), self.replies(effects))
+        effects = self.receive(4, 0.5)
+        self.assertEqual(self.replies(effects), [(4, traffic.NOT_RUN)])
+        self.assertEqual(self.started(self.receive(5, 0.5, instance="new")), [5])
+        self.end(5, 0.6)
+        # It may have started again under its name.
+        self.assertEqual(self.started(self.receive(6, 4.0)), [6])
+
     def test_abandoned_run_is_broken_off_and_frees_its_slot(self):
         self.fill()
         self.receive(3)
