Give each test fleet a loopback network and fixed ports of its own

The test had taken a port that the kernel hands out, and another process's connection got it in between (the log says address in use). Now: ports below that range on a network by process and fleet.

--- a/tests/platform/fleet.py
+++ b/tests/platform/fleet.py
@@ -1,10 +1,11 @@
 """Real nodes as processes against the stand-in store and servers, on loopback."""
 
 import asyncio
+import itertools
 import json
 import os
 import signal
-import socket
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -19,17 +20,11 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 HOST = "shop.example"
 READY_S = 15.0
-
-
-def find_ports(count):
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("0.0.0.0", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+# For nodes, callers, readiness and metrics; below the ports that the kernel hands out,
+# as a connection of any process may hold one of those.
+PORTS = (7101, 7102, 7103, 7104)
+# Each fleet has a loopback network of its own, so that none meets another's.
+FLEETS = itertools.count(1)
 
 
 def make_rules():
@@ -50,7 +45,8 @@
         self.store = Store()
         self.store.listen()
         self.addCleanup(self.store.stop)
-        self.ports = find_ports(4)
+        self.ports = PORTS
+        self.network = f"127.{2 + os.getpid() % 250}.{next(FLEETS) % 250}"
         self.processes = {}
         self.servers = []
         self.pool = ConnectionPool(10_000_000)
@@ -68,7 +64,7 @@
             await self.wait_until_ready(index)
 
     def get_ip(self, index):
-        return f"127.0.0.{20 + index}"
+        return f"{self.network}.{1 + index}"
 
     def get_zone(self, index):
         return self.zones[index % len(self.zones)]
@@ -105,8 +101,6 @@
         path = self.write_settings(index)
         log = open(Path(self.folder.name) / f"{index}.log", "ab")
         self.addCleanup(log.close)
-        import subprocess
-
         self.processes[index] = subprocess.Popen(
             [
                 sys.executable,
