Go on following the source after an error that nobody foresaw

Cause: found by reading: an exception other than a source error would have ended the feed's task for the life of the process. Test: test_error_that_nobody_foresaw_does_not_ end_the_feed, red before (no error was logged, and the task had ended).

--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -76,11 +76,20 @@
     def start(self):
         """Start to follow the source."""
         self._task = self._shell.loop.create_task(self._follow())
+        self._task.add_done_callback(self._resume)
 
     def stop(self):
         """Stop to follow it."""
         self._task.cancel()
 
+    def _resume(self, task):
+        """Start again after an error that nobody foresaw."""
+        if task.cancelled() or task is not self._task:
+            return
+        logger.error("feed failed", exc_info=task.exception())
+        self._shell.metrics.count("feed_errors")
+        self._shell.loop.call_later(RETRY_MAX_S, self.start)
+
     def restart(self):
         """Read everything anew, on new connections."""
         self.stop()
--- a/tests/net/test_feed.py
+++ b/tests/net/test_feed.py
@@ -117,6 +117,14 @@
         await self.wait_for(lambda: self.names() == ["b"])
         await self.wait_for(lambda: self.proxy.calls.configuration.version == 4)
 
+    async def test_error_that_nobody_foresaw_does_not_end_the_feed(self):
+        with self.assertLogs("balsamdeal.net.feed", "ERROR"):
+            await self.fail_next(TypeError("not a list"))
+            await asyncio.sleep(0.05)
+        self.reader.error = None
+        self.reader.version = 4
+        await self.wait_for(lambda: self.proxy.calls.configuration.version == 4)
+
     async def test_older_configuration_is_not_taken(self):
         self.reader.version = 4
         self.feed.restart()
