Carry work between nodes as one deflated head; one stuck attempt makes no target slow

A trial that printed each exchange between nodes: 18.5 MB crossed, of them 10.1 MB for 1,685 bookings (6 KB each), 3.3 MB for 4,045 lookups (820 bytes). Of the bookings that crossed, 589 had no target of the service in their domain, 418 none that could be reached, 538 a slow one; many of these were called slow for a single attempt that lasted (one in flight for 0.9 s with a mean run of 0.13 s, seven others answered). Now: what a node tells another goes in the body, a JSON list deflated with a dictionary (162 bytes for 225 for a lookup, 113 for 200 for its answer, without bodies); ages of attempts are weighed against two usual runs. Ruled out: bodies (they do not compress), refusals before a body is sent (26 bookings were refused in vain by another domain). Removed: fields that nobody read (TargetReplied.leaving, Target.cold_s). Tests: tests.net.test_hops; test_single_attempt_that_lasts_makes_no_target_slow (red before).

--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -44,6 +44,9 @@
 # A target without a report for this long is taken for a usual one of its service, and
 # asked once, so that one that was slow is found again when it has recovered.
 PROBE_AFTER_S = 1.5
+# Ages of attempts without a reply are weighed against this many usual runs: a single
+# one that lasts, as one run in a hundred does, makes no target a slow one.
+AGE_WEIGHT = 2
 # Targets that are compared for one choice at most, however many a service has.
 MAX_RATED = 6
 # The own target is kept to while it takes at most this many times as long as the best:
@@ -233,7 +236,10 @@
             work_s = min(work_s, usual_s)
         if view.in_flight:
             # A target that has become slow replies late, but its attempts age.
-            work_s = max(work_s, now_s - view.sent_sum_s / view.in_flight)
+            age_sum_s = view.in_flight * now_s - view.sent_sum_s
+            known_s = AGE_WEIGHT * work_s
+            aged_s = (age_sum_s + known_s) / (view.in_flight + AGE_WEIGHT)
+            work_s = max(work_s, aged_s)
         run_s = self.runs_s.get(route_name, usual_s) * work_s / max(1e-3, usual_s)
         if route_name in self.urgent:
             present = min(present, limit)  # it goes before what waits there
--- a/balsamdeal/core/targets.py
+++ b/balsamdeal/core/targets.py
@@ -29,7 +29,6 @@
     failure_domain: str
     slots: int
     leaving: bool
-    cold_s: float
     revision: int
 
     @property
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -135,14 +135,13 @@
 class TargetReplied:
     """The target gave a whole answer; ``declined`` if it says that it ran nothing.
 
-    ``misdirected`` if another server holds its address, ``leaving`` if it announced
-    its end, ``failed`` if the answer is a failure.
+    ``misdirected`` if another server holds its address, ``failed`` if the answer is a
+    failure.
     """
 
     work_id: int
     declined: bool
     misdirected: bool
-    leaving: bool
     failed: bool
     now_s: float
 
--- a/balsamdeal/net/messages.py
+++ b/balsamdeal/net/messages.py
@@ -32,6 +32,14 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
+    def get_header(self, name):
+        """Return the first value of a header, or an empty text."""
+        wanted = name.lower()
+        for item, value in self.headers:
+            if item.lower() == wanted:
+                return value
+        return ""
+
 
 @dataclass(slots=True)
 class Answer:
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tornado.httputil import HTTPHeaders
 
@@ -19,9 +19,9 @@
 from balsamdeal.errors import ExchangeError
 from balsamdeal.log import DecisionLog
 from balsamdeal.metrics import Metrics
-from balsamdeal.net import hops
 from balsamdeal.net.answers import MISDIRECTED, check_answer, make_owner_check
 from balsamdeal.net.connections import ConnectionPool, Exchange
+from balsamdeal.net.hops import HopCodec
 from balsamdeal.net.messages import (
     HOP_HEADERS,
     Answer,
@@ -42,6 +42,8 @@
 IDLE_ONCE_S = 1.0
 # Largest heads that are read at all; above the configured limit they get 431.
 MAX_HEAD_BYTES = 262_144
+# Nodes are asked by address; HTTP wants a host in each request.
+HOP_HOST = "n"
 # Idle connections are kept this much longer than the limit, so that a request on its
 # way at the limit still arrives.
 IDLE_SLACK_S = 1.0
@@ -86,9 +88,10 @@
         self.loop = asyncio.get_running_loop()
         self.proxy = Proxy.from_config(settings)
         self.metrics = Metrics({})
+        self.codec = HopCodec(names)
         self.decisions = DecisionLog(logging.getLogger("balsamdeal.decisions"))
         limits = Limits()
-        self.peer_pool = ConnectionPool(limits.body_bytes)
+        self.peer_pool = ConnectionPool(limits.body_bytes + MAX_HEAD_BYTES)
         self.target_pool = ConnectionPool(limits.body_bytes, True, IDLE_ONCE_S)
         self.stopping = False
         self.servers = []
@@ -106,8 +109,6 @@
                 names.time_left_ms,
                 names.caller_service,
                 names.instance,
-                hops.WORK_HEADER,
-                hops.REPLY_HEADER,
             )
         }
         # The host is part of what a caller asked for.
@@ -130,16 +131,17 @@
     def listen(self):
         """Open the servers for callers, other nodes, readiness and metrics."""
         settings = self.settings
-        self._open(settings.caller_address, self._receive_call)
-        self._open(settings.node_address, self._receive_work)
-        self._open(settings.ready_address, self._answer_control)
+        self._open(settings.caller_address, self._receive_call, self._get_limits)
+        self._open(settings.node_address, self._receive_work, self._get_hop_limits)
+        self._open(settings.ready_address, self._answer_control, self._get_limits)
         if settings.metrics_address:
-            self._open(settings.metrics_address, self._answer_control)
+            address = settings.metrics_address
+            self._open(address, self._answer_control, self._get_limits)
 
-    def _open(self, address, handle):
-        limits = self._get_limits()
+    def _open(self, address, handle, get_limits):
+        limits = get_limits()
         server = SilenceAwareServer(
-            RequestServer(self._get_limits, handle),
+            RequestServer(get_limits, handle),
             max_header_size=MAX_HEAD_BYTES,
             max_body_size=limits.body_bytes,
             max_buffer_size=limits.body_bytes + MAX_HEAD_BYTES,
@@ -153,6 +155,11 @@
         configuration = self.proxy.calls.configuration
         return configuration.limits if configuration else Limits()
 
+    def _get_hop_limits(self):
+        """Return limits of what nodes send: a caller's body with a head before it."""
+        limits = self._get_limits()
+        return replace(limits, body_bytes=limits.body_bytes + MAX_HEAD_BYTES)
+
     def apply_limits(self):
         """Keep idle connections as long as the configuration in force says."""
         # A limit that has become shorter is not applied: callers that have not heard
@@ -254,9 +261,9 @@
         if call is None:
             return
         headers = HTTPHeaders({"Content-Type": "application/json"})
-        for name, value in call.payload.headers:
-            if name.lower() == self.names.request_id.lower():
-                headers[name] = value
+        request_id = call.payload.get_header(self.names.request_id)
+        if request_id:
+            headers[self.names.request_id] = request_id
         if effect.retry_after_s is not None:
             headers["Retry-After"] = f"{effect.retry_after_s:.3f}"
         body = json.dumps({"reason": effect.reason}).encode()
@@ -285,7 +292,7 @@
 
     def _start_local(self, effect, payload):
         work_id = self._next_id()
-        request_id = self._get_request_id(payload)
+        request_id = payload.get_header(self.names.request_id)
         self._attempts[effect.attempt_id] = work_id
         self._work[work_id] = Work(
             payload, self.settings.service, request_id, effect.attempt_id, None
@@ -305,29 +312,23 @@
             )
         )
 
-    def _get_request_id(self, payload):
-        wanted = self.names.request_id.lower()
-        for name, value in payload.headers:
-            if name.lower() == wanted:
-                return value
-        return ""
-
     async def _exchange_attempt(self, effect, payload, exchange):
-        headers = make_headers(payload.headers)
-        headers[hops.WORK_HEADER] = hops.encode_work(effect, self.settings.service)
+        message = self.codec.encode_work(effect, self.settings.service, payload)
         try:
             response = await self.peer_pool.fetch(
                 effect.node_address,
-                payload.method,
-                payload.path,
-                headers,
-                payload.body,
+                "POST",
+                "/",
+                HTTPHeaders({"Host": HOP_HOST}),
+                message,
                 timeout_s=effect.time_left_s + REPLY_SLACK_S,
                 once=not effect.idempotent,
                 exchange=exchange,
             )
-            text = response.headers.get(hops.REPLY_HEADER, "")
-            reply = hops.decode_reply(text, effect.node_address)
+            request_id = payload.get_header(self.names.request_id)
+            reply, answer = self.codec.decode_reply(
+                response.body, effect.node_address, request_id
+            )
         except ExchangeError as error:
             self._attempts.pop(effect.attempt_id, None)
             now_s = self.loop.time()
@@ -338,20 +339,15 @@
             )
             return
         self._attempts.pop(effect.attempt_id, None)
-        if reply.outcome == traffic.ANSWERED:
-            self._keep_answer(effect.call_id, effect.attempt_id, response)
+        if answer is not None:
+            self._keep_answer(effect.call_id, effect.attempt_id, answer)
         now_s = self.loop.time()
         self.handle(traffic.AttemptReplied(effect.attempt_id, reply, now_s))
 
-    def _keep_answer(self, call_id, attempt_id, response):
+    def _keep_answer(self, call_id, attempt_id, answer):
         if call_id not in self._calls:
             return
-        self._answers[attempt_id] = Answer(
-            response.status,
-            response.reason,
-            filter_headers(response.headers, self._dropped),
-            response.body,
-        )
+        self._answers[attempt_id] = answer
         self._kept_answers.setdefault(call_id, []).append(attempt_id)
 
     def _cancel_attempt(self, effect):
@@ -368,20 +364,17 @@
     def _receive_work(self, connection, start_line, headers, body):
         now_s = self.loop.time()
         work_id = self._next_id()
-        request_id = headers.get(self.names.request_id, "")
         try:
-            event, caller_service = hops.decode_work(
-                headers.get(hops.WORK_HEADER, ""), work_id, request_id, now_s
+            event, caller_service, payload = self.codec.decode_work(
+                body, work_id, now_s
             )
         except ExchangeError as error:
             logger.warning("bad work", extra={"reason": str(error)})
             self.metrics.count("bad_messages")
             write_response(connection, start_line.method, 400, HTTPHeaders(), b"")
             return
-        pairs = filter_headers(headers, self._dropped)
-        payload = Payload(start_line.method, start_line.path, pairs, body)
         self._work[work_id] = Work(
-            payload, caller_service, request_id, None, connection
+            payload, caller_service, event.request_id, None, connection
         )
         connection.set_close_callback(lambda: self._abandon_work(work_id))
         self.handle(event)
@@ -429,13 +422,17 @@
         status = response.status
         misdirected = status == MISDIRECTED
         declined = misdirected or self.names.declined in response.headers
-        work.answer = response
+        work.answer = Answer(
+            status,
+            response.reason,
+            filter_headers(response.headers, self._dropped),
+            response.body,
+        )
         self.handle(
             traffic.TargetReplied(
                 work_id,
                 declined,
                 misdirected,
-                response.headers.get("Connection", "").lower() == "close",
                 status >= 500,
                 self.loop.time(),
             )
@@ -458,15 +455,9 @@
         if work.attempt_id is not None:
             self._finish_local(work, reply)
             return
-        headers = HTTPHeaders()
-        status, body, reason = 503, b"", None
-        if reply.outcome == traffic.ANSWERED:
-            answer = work.answer
-            status, body, reason = answer.status, answer.body, answer.reason
-            headers = make_headers(filter_headers(answer.headers, self._dropped))
-        headers[hops.REPLY_HEADER] = hops.encode_reply(reply)
-        method = work.payload.method
-        write_response(work.connection, method, status, headers, body, reason)
+        answer = work.answer if reply.outcome == traffic.ANSWERED else None
+        message = self.codec.encode_reply(reply, answer, work.request_id)
+        write_response(work.connection, "POST", 200, HTTPHeaders(), message)
 
     def _finish_local(self, work, reply):
         attempt_id = work.attempt_id
--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -108,6 +108,8 @@
     zone: Text
     slots: int = Field(gt=0)
     state: Literal["ready", "draining"]
+    # Not used: how fast a target is shows in its runs. It is checked, as an entry with
+    # a wrong type in it comes from another writer.
     cold_remaining_s: float = Field(default=0.0, ge=0)
     born: int | None = None
 
@@ -208,6 +210,5 @@
         message.zone,
         message.slots,
         message.state == "draining",
-        message.cold_remaining_s,
         item.revision,
     )
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -246,7 +246,7 @@
         target = self.targets[node]
         if target.running.pop(work_id, None):
             event = traffic.TargetReplied(
-                work_id, False, False, False, target.broken, self.now_s
+                work_id, False, False, target.broken, self.now_s
             )
             self.handle(node, event)
 
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -130,6 +130,15 @@
         self.report("n1", 1, now_s=0.6)
         self.assertEqual(self.names(now_s=0.6), {"n1"})
 
+    def test_single_attempt_that_lasts_makes_no_target_slow(self):
+        # Nine in ten runs end within 1.5 times the mean, one in a hundred takes far
+        # longer; bookings with large bodies once crossed because of one of these.
+        self.report_all(n0=5, n1=5)
+        for name in ("n0", "n1"):
+            self.placement.note_sent(self.targets.targets[name], 0.0)
+            self.report(name, 5, now_s=0.4)
+        self.assertLessEqual(self.names(now_s=0.45), {"n0", "n1"})
+
     def test_late_work_crosses_after_the_own_domain_had_no_room(self):
         for name in ("f0", "f1"):
             self.report(name, 10, 60)
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -41,8 +41,7 @@
         return self.serving.receive(make_work(*arguments, **changes))
 
     def end(self, work_id, now_s, **changes):
-        fields = {"declined": False, "misdirected": False, "leaving": False}
-        fields |= {"failed": False, **changes}
+        fields = {"declined": False, "misdirected": False, "failed": False, **changes}
         event = traffic.TargetReplied(work_id, now_s=now_s, **fields)
         return self.serving.take_reply(event)
 
--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -15,7 +15,6 @@
         "failure_domain": "erie",
         "slots": 4,
         "leaving": False,
-        "cold_s": 0.0,
         **changes,
     }
     return Target(instance, revision=revision, **fields)
--- /dev/null
+++ b/tests/net/test_hops.py
@@ -0,0 +1,128 @@
+"""Tests of what goes between nodes: everything comes back, anything else is refused."""
+
+import unittest
+import zlib
+
+from balsamdeal.core import traffic
+from balsamdeal.core.traffic import NodeLoad, SendAttempt, WorkReply
+from balsamdeal.errors import ExchangeError
+from balsamdeal.net.hops import FORMAT, PREFIX, WINDOW_BITS, HopCodec
+from balsamdeal.net.messages import Answer, HeaderNames, Payload
+
+NAMES = HeaderNames(
+    "Request-Id", "Left-Ms", "Instance", "Caller-Service", "Seal", "Declined"
+)
+REQUEST_ID = "bb9f1edb31af8b5e"
+LOAD = NodeLoad(3, 0, 12, 0.095, 0.0, False)
+
+
+def make_attempt():
+    """Return an attempt of a lookup."""
+    return SendAttempt(
+        7, 8, "10.0.0.2:1", False, "i-1", "desk", True, 2, 1.2, -0.35, 0.4
+    )
+
+
+def make_payload(body=b""):
+    """Return a lookup as a usual caller sends it."""
+    headers = (
+        ("Host", "shop.example"),
+        ("User-Agent", "sdk-client/1.9.3"),
+        ("Accept", "*/*"),
+        ("Accept-Encoding", "identity"),
+        ("Request-Id", REQUEST_ID),
+    )
+    return Payload("GET", "/tickets/1?full=%20", headers, body)
+
+
+def make_answer(**changes):
+    """Return a target's answer with its body."""
+    fields = {
+        "status": 200,
+        "reason": "Fine",
+        "headers": (("Seal", "3.9e.2bd"), ("request-id", REQUEST_ID), ("X", "é")),
+        "body": bytes(range(256)),
+        **changes,
+    }
+    return Answer(**fields)
+
+
+class HopTest(unittest.TestCase):
+    """One codec at both ends."""
+
+    def setUp(self):
+        self.codec = HopCodec(NAMES)
+
+    def test_work_comes_back(self):
+        for body in (b"", b"\x00\xff" * 5000):
+            payload = make_payload(body)
+            message = self.codec.encode_work(make_attempt(), "board", payload)
+            event, service, decoded = self.codec.decode_work(message, 5, 10.0)
+            self.assertEqual(decoded, payload)
+            self.assertEqual(service, "board")
+            self.assertEqual(
+                event,
+                traffic.WorkReceived(
+                    5, REQUEST_ID, "i-1", "desk", True, 2, 1.2, -0.35, 0.4, 10.0
+                ),
+            )
+
+    def test_answer_comes_back(self):
+        reply = WorkReply(traffic.ANSWERED, True, "", 0.0, 0.108, load=LOAD)
+        answer = make_answer()
+        message = self.codec.encode_reply(reply, answer, REQUEST_ID)
+        self.assertEqual(
+            self.codec.decode_reply(message, "peer", REQUEST_ID), (reply, answer)
+        )
+
+    def test_answer_without_the_id_gets_none(self):
+        reply = WorkReply(traffic.ANSWERED, True, "", load=LOAD)
+        answer = make_answer(headers=(("Seal", "1"),))
+        message = self.codec.encode_reply(reply, answer, REQUEST_ID)
+        _, decoded = self.codec.decode_reply(message, "peer", REQUEST_ID)
+        self.assertEqual(decoded, answer)
+
+    def test_refusal_comes_back(self):
+        reply = WorkReply(
+            traffic.NOT_RUN, False, "no room", 0.25, unusable=True, load=LOAD
+        )
+        message = self.codec.encode_reply(reply, None, REQUEST_ID)
+        self.assertEqual(
+            self.codec.decode_reply(message, "peer", REQUEST_ID), (reply, None)
+        )
+
+    def test_message_is_smaller_than_headers_would_be(self):
+        payload = make_payload()
+        plain = sum(len(name) + len(value) + 4 for name, value in payload.headers)
+        message = self.codec.encode_work(make_attempt(), "board", payload)
+        self.assertLess(len(message), plain)
+
+    def test_anything_else_is_refused(self):
+        work = self.codec.encode_work(make_attempt(), "board", make_payload())
+        other_names = HeaderNames("A", "B", "C", "D", "E", "F")
+        other_format = PREFIX.pack((FORMAT + 1) << 24) + work[PREFIX.size :]
+        messages = (
+            b"",
+            b"\x01",
+            b"GET / HTTP/1.1",
+            work[:40],
+            other_format,
+            HopCodec(other_names).encode_work(make_attempt(), "board", make_payload()),
+            self.codec._encode({"a": 1}, b""),
+            self.codec._encode([1, 2], b""),
+        )
+        for message in messages:
+            with self.subTest(message=message[:10]):
+                with self.assertRaises(ExchangeError) as caught:
+                    self.codec.decode_work(message, 1, 0.0)
+                self.assertFalse(caught.exception.written)
+                with self.assertRaises(ExchangeError) as caught:
+                    self.codec.decode_reply(message, "peer", REQUEST_ID)
+                self.assertTrue(caught.exception.written)
+
+    def test_head_that_inflates_without_end_is_refused(self):
+        deflate = zlib.compressobj(9, zlib.DEFLATED, WINDOW_BITS)
+        packed = deflate.compress(b"[" * 50_000_000) + deflate.flush()
+        message = PREFIX.pack(FORMAT << 24 | len(packed)) + packed
+        with self.assertRaises(ExchangeError):
+            self.codec.decode_work(message, 1, 0.0)
