Let late work cross to a domain with room; use targets of stopping nodes longer

Late work: it did not cross while its own domain had a target that might have room soon, so a caller that came back late was refused beside idle targets.

Stopping nodes: peers left a target out from the first reply after SIGTERM, though its node takes work for 3 s. Now peers hear of it 1.5 s before that time ends; the node leaves half a second after it has answered two questions for readiness, a round apart, with 503, 3.2 s as before if nobody asks.

Failed try, reverted: ages of attempts weighed against some usual runs.

--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -25,6 +25,9 @@
 # The shortest time a target is left out after a failure to reach it, and the longest.
 UNREACHABLE_BASE_S = 0.4
 UNREACHABLE_MAX_S = 3.0
+# A target whose node is about to end is left out for this long: the node has been
+# replaced by then. Each reply that it still gives begins that time anew.
+STOPPING_S = 2.0
 # A target is ejected when this share of its recent answers are failures and its
 # service as a whole does at most half as badly.
 EJECTION_SHARE = 0.3
@@ -44,9 +47,6 @@
 # A target without a report for this long is taken for a usual one of its service, and
 # asked once, so that one that was slow is found again when it has recovered.
 PROBE_AFTER_S = 1.5
-# Ages of attempts without a reply are weighed against this many usual runs: a single
-# one that lasts, as one run in a hundred does, makes no target a slow one.
-AGE_WEIGHT = 2
 # Targets that are compared for one choice at most, however many a service has.
 MAX_RATED = 6
 # The own target is kept to while it takes at most this many times as long as the best:
@@ -129,7 +129,7 @@
         view.sent_since = 0.0
         view.unreachable_count = 0
         if load.stopping:
-            view.stopping_until_s = now_s + UNREACHABLE_MAX_S
+            view.stopping_until_s = now_s + STOPPING_S
 
     def note_run(self, target, route_name, ran_s):
         """Learn how long a route's runs take at a target of usual speed."""
@@ -225,21 +225,13 @@
         view = self.get_view(target)
         load = view.load
         usual_s = self._get_usual_work_s(target.service)
-        if load is None:
-            work_s, limit, present = usual_s, target.slots, 0.0
-        else:
-            work_s, limit = load.work_s, max(1, load.limit)
-            age = (now_s - view.load_s) / REPORT_HALF_LIFE_S
-            present = (load.busy + load.queued) * math.exp2(-age)
-        present = max(present + view.sent_since, view.in_flight)
+        work_s = usual_s if load is None else load.work_s
+        present, limit = self._expect_present(target, view, now_s)
         if now_s - view.load_s > PROBE_AFTER_S and not view.in_flight:
             work_s = min(work_s, usual_s)
         if view.in_flight:
             # A target that has become slow replies late, but its attempts age.
-            age_sum_s = view.in_flight * now_s - view.sent_sum_s
-            known_s = AGE_WEIGHT * work_s
-            aged_s = (age_sum_s + known_s) / (view.in_flight + AGE_WEIGHT)
-            work_s = max(work_s, aged_s)
+            work_s = max(work_s, now_s - view.sent_sum_s / view.in_flight)
         run_s = self.runs_s.get(route_name, usual_s) * work_s / max(1e-3, usual_s)
         if route_name in self.urgent:
             present = min(present, limit)  # it goes before what waits there
@@ -248,6 +240,22 @@
         spread = 0.1 * min(1.0, present / limit)
         return run_s * (1.0 + spread) + work_s * over / limit
 
+    @staticmethod
+    def _expect_present(target, view, now_s):
+        """Return how much runs and waits at a target by now, and how much may run."""
+        load = view.load
+        if load is None:
+            return max(view.sent_since, view.in_flight), target.slots
+        age = (now_s - view.load_s) / REPORT_HALF_LIFE_S
+        present = (load.busy + load.queued) * math.exp2(-age)
+        return max(present + view.sent_since, view.in_flight), max(1, load.limit)
+
+    def _has_room(self, target, now_s):
+        """Return whether a target runs more work without a wait for anybody."""
+        view = self.get_view(target)
+        present, limit = self._expect_present(target, view, now_s)
+        return present + 1 <= KNEE_SHARE * limit
+
     def _get_usual_work_s(self, service):
         """Return the median length of a run at the targets of a service.
 
@@ -292,8 +300,10 @@
             return other
         if best is not None:
             return best
-        # Work that will be late crosses only if the own domain has no target left that
-        # may have room soon.
+        if other is None or self._has_room(other, now_s):
+            return other
+        # Where no domain has room, work that will be late does not cross, unless the
+        # own domain has no target that may have room soon.
         served_here = any(item.failure_domain == self.own_domain for item in usable)
         return None if served_here else other
 
--- a/balsamdeal/core/serving.py
+++ b/balsamdeal/core/serving.py
@@ -105,7 +105,7 @@
             queue.limit,
             queue.observe_work_s(now_s),
             queue.estimate_wait_s(len(queue.waiting)),
-            self.stop is not None,
+            self.stop is not None and self.stop.is_near(now_s),
         )
 
     def receive(self, event):
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -10,6 +10,10 @@
 ANSWERED = "answered"  # a whole answer of the target
 NOT_RUN = "not-run"  # no target began it, and none will
 UNKNOWN = "unknown"  # a target may have run it
+# Other nodes hear of a stop this long before the end of the time in which everything is
+# taken. Until then the target serves them as before; later the longest runs of the
+# users' services (two seconds where a target is slow) still end in time.
+NOTICE_S = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +172,10 @@
     end_s: float
     now_s: float
 
+    def is_near(self, now_s):
+        """Return whether other nodes should send their work elsewhere."""
+        return now_s >= self.open_until_s - NOTICE_S
+
     def takes(self, now_s, time_left_s):
         """Return whether something new is taken that may last for so long."""
         return now_s <= self.open_until_s or now_s + time_left_s <= self.end_s
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import logging
+import math
 from dataclasses import dataclass, replace
 
 from tornado.httputil import HTTPHeaders
@@ -42,6 +43,8 @@
 IDLE_ONCE_S = 1.0
 # Largest heads that are read at all; above the configured limit they get 431.
 MAX_HEAD_BYTES = 262_144
+# Questions for readiness closer together than this are of one round, in seconds.
+MISS_GAP_S = 0.5
 # Nodes are asked by address; HTTP wants a host in each request.
 HOP_HOST = "n"
 # Idle connections are kept this much longer than the limit, so that a request on its
@@ -94,6 +97,8 @@
         self.peer_pool = ConnectionPool(limits.body_bytes + MAX_HEAD_BYTES)
         self.target_pool = ConnectionPool(limits.body_bytes, True, IDLE_ONCE_S)
         self.stopping = False
+        self.readiness_misses = 0
+        self.missed_s = -math.inf
         self.servers = []
         self._calls = {}
         self._attempts = {}
@@ -484,12 +489,21 @@
             )
             return
         ready = self.proxy.is_ready() and not self.stopping
+        if self.stopping:
+            self._note_miss()
         content = json.dumps({"ready": ready}).encode()
         headers = HTTPHeaders({"Content-Type": "application/json"})
         write_response(
             connection, start_line.method, 200 if ready else 503, headers, content
         )
 
+    def _note_miss(self):
+        """Count the questions after which callers leave, once for each round."""
+        now_s = self.loop.time()
+        if now_s - self.missed_s >= MISS_GAP_S:
+            self.readiness_misses += 1
+            self.missed_s = now_s
+
 
 def _parse_milliseconds(text):
     """Return seconds, or None where a caller names no usable time."""
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -14,6 +14,9 @@
 EXIT_ADDRESS = 3
 # Callers hear of a stop by two missed questions for readiness, a second apart; what
 # they sent before that is on its way a little longer.
+MISSES_TO_LEAVE = 2
+LEAVE_S = 0.5
+# The same where nobody asks for readiness.
 LINGER_S = 3.2
 # Everything is taken for this long after a request to stop. Later ones must end before
 # the process does.
@@ -28,10 +31,11 @@
 SUSPENSION_S = 0.5
 
 
-async def drain(shell):
+async def drain(shell, sleep=asyncio.sleep):
     """Serve on while callers leave, then wait for what is in flight.
 
     :param shell: the ``ProxyShell``.
+    :param sleep: waits for seconds of the loop; tests advance their clock by it.
     """
     loop = shell.loop
     bound_s = loop.time() + shell.settings.stop_bound_s - KILL_MARGIN_S - REFUSE_S
@@ -40,11 +44,13 @@
     open_until_s = min(loop.time() + OPEN_S, bound_s)
     shell.handle(traffic.StopRequested(open_until_s, bound_s, loop.time()))
     while loop.time() < linger_s:
-        await asyncio.sleep(IDLE_POLL_S)
+        if shell.readiness_misses >= MISSES_TO_LEAVE:
+            linger_s = min(linger_s, shell.missed_s + LEAVE_S)
+        await sleep(IDLE_POLL_S)
     while not shell.proxy.is_idle() and loop.time() < bound_s:
-        await asyncio.sleep(IDLE_POLL_S)
+        await sleep(IDLE_POLL_S)
     shell.proxy.refuse_all()
-    await asyncio.sleep(REFUSE_S)
+    await sleep(REFUSE_S)
 
 
 async def serve(settings, names, make_reader, read_settings):
--- a/tests/core/test_serving.py
+++ b/tests/core/test_serving.py
@@ -201,6 +201,12 @@
         self.assertEqual((reply.outcome, reply.unusable), (traffic.NOT_RUN, True))
         self.assertTrue(self.serving.make_load(4.0).stopping)
 
+    def test_stopping_node_works_for_others_until_its_end_is_near(self):
+        # A fleet whose nodes are restarted in turn loses a target for each of them.
+        self.serving.stop = traffic.StopRequested(3.0, 5.0, 0.0)
+        self.assertFalse(self.serving.make_load(1.4).stopping)
+        self.assertTrue(self.serving.make_load(1.5).stopping)
+
     def test_stopping_node_refuses_at_its_end(self):
         self.serving.refusing = True
         self.assertEqual(self.replies(self.receive(1)), [(1, traffic.NOT_RUN)])
