--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from balsamdeal.core.patience import Patience
 from balsamdeal.core.retries import RetryBudget
 from balsamdeal.core.routes import WeightedChoice
 from balsamdeal.core.traffic import (
@@ -39,8 +40,6 @@
 STOPPING_RETRY_S = 0.2
 # A repeat must have at least this long left to be worth sending.
 MIN_REPEAT_S = 0.05
-# Values after which the counts of a usual one are halved, so that it can change.
-USUAL_WINDOW = 200
 # Share of what operators allow that this node's repeats use up at most. Every node
 # keeps to its part of the same share, so the fleet does, whatever its size.
 BUDGET_USE = 0.7
@@ -49,26 +48,6 @@
 DECLINED_REPEAT_COST = 1.0
 
 
-class UsualValue:
-    """The most frequent one of the values that were seen lately."""
-
-    def __init__(self):
-        self.value = 0.0
-        self._counts = {}
-        self._total = 0
-
-    def note(self, value):
-        """Count a value."""
-        self._counts[value] = count = self._counts.get(value, 0) + 1
-        if count > self._counts.get(self.value, 0):
-            self.value = value
-        self._total += 1
-        if self._total >= USUAL_WINDOW:
-            halved = {item: n // 2 for item, n in self._counts.items() if n > 1}
-            self._counts = halved
-            self._total = sum(halved.values())
-
-
 @dataclass(slots=True)
 class Call:
     """A caller's request without an answer; it keeps the route that it began on."""
@@ -108,7 +87,7 @@
         self.calls = {}
         self.attempts = {}
         self.budgets = {}
-        self.usual_times = {}
+        self.patience = Patience()
         self._shares = WeightedChoice()
         self._next_attempt = 0
 
@@ -128,33 +107,19 @@
             left_s = min(left_s, event.time_left_s)
         if self.stop is not None and not self.stop.takes(event.now_s, left_s):
             return self._refuse_new(event, 503, "node is stopping", STOPPING_RETRY_S)
-        elapsed_s = self._estimate_elapsed_s(route, event.time_left_s)
+        spent_s = self.patience.estimate_spent_s(route, event.time_left_s)
         call = Call(
             event,
             route,
             self._shares.choose(route),
             event.now_s + left_s,
-            event.now_s + route.objective_s - elapsed_s,
+            event.now_s + route.objective_s - spent_s,
         )
         self.calls[event.call_id] = call
         self._get_budget(call.service).note_request(event.now_s)
         timer = SetTimer(CALL_TIMER, event.call_id, call.deadline_s + TIMEOUT_SLACK_S)
         return [timer, *self._send(call, event.now_s)]
 
-    def _estimate_elapsed_s(self, route, time_left_s):
-        """Return how long a caller has been trying.
-
-        Most callers of a route give the same time at their first attempt, so one that
-        gives less has spent the difference. A few may be more patient than the rest.
-        """
-        if time_left_s is None:
-            return 0.0
-        usual = self.usual_times.get(route.prefix)
-        if usual is None:
-            usual = self.usual_times[route.prefix] = UsualValue()
-        usual.note(time_left_s)
-        return max(0.0, usual.value - time_left_s)
-
     def _get_budget(self, service):
         budget = self.budgets.get(service)
         if budget is None:
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -7,7 +7,6 @@
 import asyncio
 import json
 import logging
-import math
 from dataclasses import dataclass, replace
 
 from tornado.httputil import HTTPHeaders
@@ -22,6 +21,7 @@
 from balsamdeal.metrics import Metrics
 from balsamdeal.net.answers import MISDIRECTED, check_answer, make_owner_check
 from balsamdeal.net.connections import ConnectionPool, Exchange
+from balsamdeal.net.control import Control
 from balsamdeal.net.hops import HopCodec
 from balsamdeal.net.messages import (
     HOP_HEADERS,
@@ -43,8 +43,6 @@
 IDLE_ONCE_S = 1.0
 # Largest heads that are read at all; above the configured limit they get 431.
 MAX_HEAD_BYTES = 262_144
-# Questions for readiness closer together than this are of one round, in seconds.
-MISS_GAP_S = 0.5
 # Nodes are asked by address; HTTP wants a host in each request.
 HOP_HOST = "n"
 # Idle connections are kept this much longer than the limit, so that a request on its
@@ -97,8 +95,7 @@
         self.peer_pool = ConnectionPool(limits.body_bytes + MAX_HEAD_BYTES)
         self.target_pool = ConnectionPool(limits.body_bytes, True, IDLE_ONCE_S)
         self.stopping = False
-        self.readiness_misses = 0
-        self.missed_s = -math.inf
+        self.control = Control(self)
         self.servers = []
         self._calls = {}
         self._attempts = {}
@@ -138,10 +135,10 @@
         settings = self.settings
         self._open(settings.caller_address, self._receive_call, self._get_limits)
         self._open(settings.node_address, self._receive_work, self._get_hop_limits)
-        self._open(settings.ready_address, self._answer_control, self._get_limits)
+        self._open(settings.ready_address, self.control.answer, self._get_limits)
         if settings.metrics_address:
             address = settings.metrics_address
-            self._open(address, self._answer_control, self._get_limits)
+            self._open(address, self.control.answer, self._get_limits)
 
     def _open(self, address, handle, get_limits):
         limits = get_limits()
@@ -477,33 +474,6 @@
             )
         )
 
-    # Readiness and metrics
-
-    def _answer_control(self, connection, start_line, headers, body):
-        path = start_line.path.partition("?")[0]
-        if path.endswith("metrics"):
-            content = self.metrics.format_prometheus()
-            kind = "text/plain; version=0.0.4"
-            write_response(
-                connection, "GET", 200, HTTPHeaders({"Content-Type": kind}), content
-            )
-            return
-        ready = self.proxy.is_ready() and not self.stopping
-        if self.stopping:
-            self._note_miss()
-        content = json.dumps({"ready": ready}).encode()
-        headers = HTTPHeaders({"Content-Type": "application/json"})
-        write_response(
-            connection, start_line.method, 200 if ready else 503, headers, content
-        )
-
-    def _note_miss(self):
-        """Count the questions after which callers leave, once for each round."""
-        now_s = self.loop.time()
-        if now_s - self.missed_s >= MISS_GAP_S:
-            self.readiness_misses += 1
-            self.missed_s = now_s
-
 
 def _parse_milliseconds(text):
     """Return seconds, or None where a caller names no usable time."""
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -44,8 +44,8 @@
     open_until_s = min(loop.time() + OPEN_S, bound_s)
     shell.handle(traffic.StopRequested(open_until_s, bound_s, loop.time()))
     while loop.time() < linger_s:
-        if shell.readiness_misses >= MISSES_TO_LEAVE:
-            linger_s = min(linger_s, shell.missed_s + LEAVE_S)
+        if shell.control.misses >= MISSES_TO_LEAVE:
+            linger_s = min(linger_s, shell.control.missed_s + LEAVE_S)
         await sleep(IDLE_POLL_S)
     while not shell.proxy.is_idle() and loop.time() < bound_s:
         await sleep(IDLE_POLL_S)
--- a/tests/test_proxydaemon.py
+++ b/tests/test_proxydaemon.py
@@ -35,7 +35,7 @@
         """Have the platform ask once a second."""
         for number in range(8):
             at_s = first_s + number * ROUND_S
-            self.actions.append((at_s, self.shell._note_miss))
+            self.actions.append((at_s, self.shell.control.note_miss))
 
     async def test_node_leaves_after_callers_have_heard_of_its_end(self):
         self.ask_readiness(0.3)
@@ -45,7 +45,7 @@
 
     async def test_many_questions_at_once_are_one(self):
         for number in range(8):
-            self.actions.append((0.1 + number * 0.01, self.shell._note_miss))
+            self.actions.append((0.1 + number * 0.01, self.shell.control.note_miss))
         await drain(self.shell, self.sleep)
         self.assertGreaterEqual(self.now_s, LINGER_S)
 
