Ask another domain once two targets of the own one have refused; fewer asks in an overload

Found by tools.policy, which runs whole fleets' reducers on the queueing fake. At 91 nodes, 0.75 of the capacity offered and a tenth of the targets eight times as slow, 11.3 % of callers were refused for good, 4.9 % while targets had room; 0.5 % at 12 nodes. Cause, by counting attempts and refusals: a node hears of each of 23 near targets about once a second, so they all look empty; its three asks went to near ones (10,439 near, 156 far), of which a third refused, as two of the four domains were full. Ruled out: probes of slow targets (an interval in proportion to the fleet: 12.3 %); more asks alone (9.1 %). Up to six targets are asked where fewer than half of the asks are refused, three above that.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -25,8 +25,14 @@
 CALL_TIMER = "call"
 # How much longer than the target's node a caller's node waits for the end of time.
 TIMEOUT_SLACK_S = 0.06
-# Nodes asked for one call at most; each that refuses costs the caller a round trip.
-MAX_ASKED = 3
+# Nodes asked for one call at most; each that refuses costs the caller a round trip. Up
+# to the share of refusals below, another target probably has room; above it the service
+# is overloaded, and more asking only adds to that.
+MAX_ASKED = 6
+MAX_ASKED_OVERLOADED = 3
+OVERLOADED_SHARE = 0.5
+# Weight of the newest reply in a service's share of refusals: about twenty count.
+REFUSAL_GAIN = 0.05
 # When a caller comes back to a node that has no configuration or reaches no target.
 NO_CONFIGURATION_RETRY_S = 0.5
 NO_TARGET_RETRY_S = 0.4
@@ -87,6 +93,7 @@
         self.calls = {}
         self.attempts = {}
         self.budgets = {}
+        self.refusal_shares = {}
         self.patience = Patience()
         self._shares = WeightedChoice()
         self._next_attempt = 0
@@ -144,7 +151,7 @@
 
     def _send(self, call, now_s):
         target = None
-        if len(call.asked) < MAX_ASKED:
+        if len(call.asked) < self._get_max_asked(call.service):
             target = self.placement.choose(
                 call.service,
                 call.asked,
@@ -177,6 +184,14 @@
             )
         ]
 
+    def _get_max_asked(self, service):
+        overloaded = self.refusal_shares.get(service, 0.0) > OVERLOADED_SHARE
+        return MAX_ASKED_OVERLOADED if overloaded else MAX_ASKED
+
+    def _note_refusal_share(self, service, refused):
+        known = self.refusal_shares.get(service, 0.0)
+        self.refusal_shares[service] = known + REFUSAL_GAIN * (refused - known)
+
     def _end_attempt(self, attempt_id):
         call = self.attempts.pop(attempt_id, None)
         if call is None:
@@ -199,8 +214,11 @@
         call.reached += reply.reached
         call.last_reason = f"{target.instance}: {reply.reason}"
         if reply.outcome == ANSWERED:
+            self._note_refusal_share(call.service, False)
             return self._take_answer(call, target, event, now_s)
         result = []
+        if not reply.unusable:
+            self._note_refusal_share(call.service, reply.outcome == NOT_RUN)
         if reply.reached:
             result += self._note_result(call, target, True, now_s)
         elif reply.unusable:
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -47,6 +47,9 @@
 # A target without a report for this long is taken for a usual one of its service, and
 # asked once, so that one that was slow is found again when it has recovered.
 PROBE_AFTER_S = 1.5
+# A call that this many targets of the own domain have refused goes to another domain if
+# that has room: in a large domain views are old, and all of it may be full.
+MAX_NEAR_ASKED = 2
 # Targets that are compared for one choice at most, however many a service has.
 MAX_RATED = 6
 # The own target is kept to while it takes at most this many times as long as the best:
@@ -292,21 +295,34 @@
         ]
         near = [item for item in open_ if item.failure_domain == self.own_domain]
         far = [item for item in open_ if item.failure_domain != self.own_domain]
+        refused = self._count_near(service, excluded) >= MAX_NEAR_ASKED
         best, best_s = self._pick(near, now_s, route.name, True)
-        if best is not None and best_s <= NEAR_OBJECTIVE_SHARE * objective_left_s:
+        in_time = best_s <= NEAR_OBJECTIVE_SHARE * objective_left_s
+        if best is not None and in_time and not refused:
             return best
         other, other_s = self._pick(far, now_s, route.name, False)
         if other is not None and other_s <= FAR_OBJECTIVE_SHARE * objective_left_s:
             return other
-        if best is not None:
+        has_room = other is not None and self._has_room(other, now_s)
+        if best is not None and not (refused and has_room):
             return best
-        if other is None or self._has_room(other, now_s):
+        if other is None or has_room:
             return other
         # Where no domain has room, work that will be late does not cross, unless the
         # own domain has no target that may have room soon.
         served_here = any(item.failure_domain == self.own_domain for item in usable)
         return None if served_here else other
 
+    def _count_near(self, service, identities):
+        """Return how many of some targets are in the own domain."""
+        if not identities:
+            return 0
+        return sum(
+            target.identity in identities
+            for target in self.targets.list_service(service)
+            if target.failure_domain == self.own_domain
+        )
+
     def _is_refusing(self, target, order, now_s):
         view = self.get_view(target)
         return now_s < view.refused_until_s and order >= view.refused_order
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -5,7 +5,12 @@
 from random import Random
 
 from balsamdeal.core import traffic
-from balsamdeal.core.calls import MAX_LATER_RETRY_S, Calls
+from balsamdeal.core.calls import (
+    MAX_ASKED,
+    MAX_ASKED_OVERLOADED,
+    MAX_LATER_RETRY_S,
+    Calls,
+)
 from balsamdeal.core.placement import Placement
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.waiting import LATER_RETRY_S
@@ -71,6 +76,26 @@
             effects = self.reply(attempt, reply, now_s)
         return self.pick(effects, traffic.RefuseCall)[0].retry_after_s
 
+    def count_asked(self, now_s):
+        effects = self.receive("/safe/1", now_s=now_s)
+        asked = 0
+        while self.pick(effects, traffic.SendAttempt):
+            asked += 1
+            attempt = self.pick(effects, traffic.SendAttempt)[0]
+            effects = self.reply(attempt, REFUSED, now_s)
+        return asked
+
+    def test_fewer_targets_are_asked_while_most_refuse(self):
+        entries = [(name, make_target(name, 1)) for name in "abcdefgh"]
+        self.targets.apply_listing(entries, 2, False, 0.0)
+        self.assertEqual(self.count_asked(0.0), MAX_ASKED)
+        asked = [self.count_asked(5.0 * number) for number in range(1, 12)]
+        self.assertEqual(asked[-1], MAX_ASKED_OVERLOADED)
+        for number in range(40):
+            attempt = self.send(now_s=100.0 + number, call_id=200 + number)
+            self.reply(attempt, ANSWERED, 100.0 + number)
+        self.assertEqual(self.count_asked(200.0), MAX_ASKED)
+
     def test_patient_callers_are_asked_back_later(self):
         back_s = self.refuse_late(8.0, 0.0)
         self.assertGreaterEqual(back_s, 0.9 * 2.0)
--- a/tests/core/test_load.py
+++ b/tests/core/test_load.py
@@ -119,6 +119,15 @@
             unserved.append(1.0 - fleet.rate()[1])
         self.assertLessEqual(sum(unserved) / len(unserved), 0.001)
 
+    def test_full_domain_of_many_targets_is_helped_by_the_others(self):
+        # A node hears of each of 20 targets about once a second, too late for a choice.
+        fleet = self.make_fleet((0.8, 1.0, 1.0, 1.1) * 10, "eett" * 10)
+        hot = [node for node, domain in fleet.domains.items() if domain == "e"]
+        self.offer(fleet, 0.55, until_s=6.0)
+        self.offer(fleet, 0.25, nodes=hot, until_s=6.0)
+        fleet.run(6.0 + DRAIN_S)
+        self.assertGreaterEqual(fleet.rate(from_s=1.0)[1], 0.999)
+
     def test_short_calls_are_not_refused_for_the_sake_of_long_lookups(self):
         fleet = self.make_fleet()
         self.offer(fleet, 1.2, work_s=0.4)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -151,6 +151,18 @@
         self.refuse_near()
         self.assertIsNone(self.choose(objective_s=0.02))
 
+    def test_call_that_its_own_domain_has_refused_crosses(self):
+        for index in range(2, 6):
+            target = make_target(f"n{index}", 1, failure_domain="erie", slots=10)
+            self.entries.append((f"n{index}", target))
+        self.targets.apply_listing(self.entries, 2, False, 0.0)
+        self.report_all(f0=3, f1=3)
+        asked = [self.targets.targets[name].identity for name in ("n0", "n3")]
+        self.assertLessEqual(
+            self.names(excluded=asked[:1]), {f"n{i}" for i in range(6)}
+        )
+        self.assertLessEqual(self.names(excluded=asked), {"f0", "f1"})
+
     def test_domain_without_a_target_crosses_also_late(self):
         for name in ("n0", "n1"):
             self.targets.apply_changes([(name, None, 5)], 5, 0.0)
--- /dev/null
+++ b/tools/policy.py
@@ -0,0 +1,152 @@
+"""Measures decisions of whole fleets on the queueing fake: 12, 91 and 810 nodes.
+
+Real reducers in simulated time, without processes. What is looked for grows with the
+fleet: uneven work, refusals beside room, repeats, shared knowledge, time to settle.
+"""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from balsamdeal.core import traffic
+from balsamdeal.net.hops import HopCodec
+from balsamdeal.net.messages import HeaderNames
+from tests.core.queueing import Load, QueueingFleet, make_route
+from tools.measure import DATA, describe_run
+
+SIZES = (12, 91, 810)
+DOMAINS = 4
+SLOTS = 8
+WORK_S = 0.2
+# Speeds of targets of one service on the users' machines.
+SPEEDS = (0.6, 0.8, 1.0, 1.0, 1.2, 1.6)
+SEED = 11
+BEFORE_SHARE, AFTER_SHARE, OVER_SHARE = 0.4, 0.75, 1.3
+STEP_S, SLOW_S, OVER_S, END_S = 2.0, 5.0, 8.0, 11.0
+# A fleet has settled once nine in ten of the callers of a window are in time.
+WINDOW_S = 0.25
+SETTLED_SHARE = 0.9
+SLOW_ONE_IN = 10
+SLOW_SPEED = 1 / 8
+ROUTE = make_route("lookup", "/lookup/", ("desk", 1.0), objective_s=0.6, timeout_s=3.0)
+NAMES = HeaderNames("Id", "Left-Ms", "Instance", "Service", "Seal", "Declined")
+
+
+class MeasuredFleet(QueueingFleet):
+    """Counts what the reports of load weigh, and refusals beside room."""
+
+    def __init__(self, nodes):
+        layout = [
+            (f"d{number % DOMAINS}", "desk", SLOTS, SPEEDS[number % len(SPEEDS)])
+            for number in range(nodes)
+        ]
+        super().__init__(layout, [ROUTE], seed=SEED)
+        self.codec = HopCodec(NAMES)
+        self.reports = 0
+        self.report_bytes = 0
+        self.refusals = 0
+        self.refusals_beside_room = 0
+        run_refusal = self._runners[traffic.RefuseCall]
+
+        def refuse(node, effect):
+            self.refusals += 1
+            self.refusals_beside_room += self.has_room()
+            run_refusal(node, effect)
+
+        self._runners[traffic.RefuseCall] = refuse
+
+    def has_room(self):
+        """Return whether any target that is not slow has two free slots or more."""
+        return any(
+            target.speed > SLOW_SPEED and len(target.running) <= SLOTS - 2
+            for target in self.targets.values()
+        )
+
+    def _reply(self, node, effect):
+        # Every hundredth is weighed; encoding all would take most of the time.
+        self.reports += 1
+        if self.reports % 100 == 0:
+            message = self.codec.encode_reply(effect.reply, None, "")
+            self.report_bytes += 100 * len(message)
+        super()._reply(node, effect)
+
+    def offer_share(self, share, from_s, until_s):
+        """Offer a share of the capacity, the same at each node."""
+        speed = sum(target.speed for target in self.targets.values())
+        per_s = share * speed * SLOTS / WORK_S / len(self.nodes)
+        for node in self.nodes:
+            load = Load(node, "/lookup/", per_s, 3.0, WORK_S, from_s, until_s)
+            self.offer(load)
+
+    def find_settled_s(self, from_s, until_s):
+        """Return how long after a moment callers are in time again, or None."""
+        at_s = from_s
+        while at_s < until_s:
+            if self.rate(from_s=at_s, until_s=at_s + WINDOW_S)[0] >= SETTLED_SHARE:
+                return at_s - from_s
+            at_s += WINDOW_S
+        return None
+
+
+def measure(nodes):
+    """Return the figures of one size.
+
+    A step of the load, then a tenth of the targets eight times as slow, then a load
+    above the capacity.
+    """
+    fleet = MeasuredFleet(nodes)
+    fleet.offer_share(BEFORE_SHARE, 0.0, END_S)
+    fleet.offer_share(AFTER_SHARE - BEFORE_SHARE, STEP_S, END_S)
+    fleet.offer_share(OVER_SHARE - AFTER_SHARE, OVER_S, END_S)
+    fleet.run(SLOW_S)
+    targets = list(fleet.targets.values())
+    shares = sorted(target.runs / target.speed for target in targets)
+    calm = len(fleet.asks), fleet.attempts, fleet.refusals
+    for target in targets[::SLOW_ONE_IN]:
+        target.speed = SLOW_SPEED
+    fleet.run(OVER_S)
+    beside, refused, attempts = (
+        fleet.refusals_beside_room,
+        fleet.refusals,
+        fleet.attempts,
+    )
+    asks = len(fleet.asks)
+    fleet.run(END_S)
+    over_s = END_S - OVER_S
+    return {
+        "nodes": nodes,
+        "busiest_to_mean": shares[-1] * len(shares) / sum(shares),
+        "refused_calm": calm[2] / calm[0],
+        "refused_beside_room": beside / asks,
+        "refused_slow": (refused - calm[2]) / (asks - calm[0]),
+        "attempts_calm": calm[1] / calm[0],
+        "attempts_over": (fleet.attempts - attempts) / (len(fleet.asks) - asks),
+        "in_time_over": fleet.rate(from_s=OVER_S, until_s=END_S - 1.0)[0],
+        "settled_step_s": fleet.find_settled_s(STEP_S, SLOW_S),
+        "settled_slow_s": fleet.find_settled_s(SLOW_S, OVER_S),
+        "report_bytes_node_s": fleet.report_bytes / nodes / END_S,
+        "crossings": fleet.crossings / fleet.attempts,
+        "over_s": over_s,
+    }
+
+
+def parse_arguments(argv=None):
+    """Return the parsed command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output", default=str(DATA / "policy.json"))
+    parser.add_argument("--nodes", default=",".join(map(str, SIZES)))
+    return parser.parse_args(argv)
+
+
+def main(argv=None):
+    """Measure all sizes, and write the figures as JSON."""
+    arguments = parse_arguments(argv)
+    rows = [measure(int(nodes)) for nodes in arguments.nodes.split(",")]
+    content = {"run": describe_run("tools.policy"), "results": rows}
+    Path(arguments.output).write_text(json.dumps(content, indent=1) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
