--- a/tools/policy.py
+++ b/tools/policy.py
@@ -15,8 +15,8 @@
 from tests.core.queueing import Load, QueueingFleet, make_route
 from tools.measure import DATA, describe_run
 
-SIZES = (12, 91, 810)
-DOMAINS = 4
+# Nodes, failure domains and services: the first site, the largest grown one, two years.
+SIZES = ((12, 4, 1), (91, 5, 2), (810, 7, 29))
 SLOTS = 8
 WORK_S = 0.2
 # Speeds of targets of one service on the users' machines.
@@ -29,19 +29,38 @@
 SETTLED_SHARE = 0.9
 SLOW_ONE_IN = 10
 SLOW_SPEED = 1 / 8
-ROUTE = make_route("lookup", "/lookup/", ("desk", 1.0), objective_s=0.6, timeout_s=3.0)
 NAMES = HeaderNames("Id", "Left-Ms", "Instance", "Service", "Seal", "Declined")
 
 
 class MeasuredFleet(QueueingFleet):
     """Counts what the reports of load weigh, and refusals beside room."""
 
-    def __init__(self, nodes):
+    def __init__(self, nodes, domains, services):
         layout = [
-            (f"d{number % DOMAINS}", "desk", SLOTS, SPEEDS[number % len(SPEEDS)])
+            (
+                f"d{number % domains}",
+                f"s{number // domains % services}",
+                SLOTS,
+                SPEEDS[number % len(SPEEDS)],
+            )
             for number in range(nodes)
         ]
-        super().__init__(layout, [ROUTE], seed=SEED)
+        routes = [
+            make_route(
+                f"r{number}",
+                f"/{number}/",
+                (f"s{number}", 1.0),
+                objective_s=0.6,
+                timeout_s=3.0,
+            )
+            for number in range(services)
+        ]
+        super().__init__(layout, routes, seed=SEED)
+        self.services = services
+        self.by_service = {}
+        for node, (_, service, *_) in zip(self.nodes, layout):
+            targets = self.by_service.setdefault(service, [])
+            targets.append(self.targets[node])
         self.codec = HopCodec(NAMES)
         self.reports = 0
         self.report_bytes = 0
@@ -51,16 +70,16 @@
 
         def refuse(node, effect):
             self.refusals += 1
-            self.refusals_beside_room += self.has_room()
+            self.refusals_beside_room += self.has_room(effect.service)
             run_refusal(node, effect)
 
         self._runners[traffic.RefuseCall] = refuse
 
-    def has_room(self):
-        """Return whether any target that is not slow has two free slots or more."""
+    def has_room(self, service):
+        """Return whether a target that is not slow has two free slots or more."""
         return any(
             target.speed > SLOW_SPEED and len(target.running) <= SLOTS - 2
-            for target in self.targets.values()
+            for target in self.by_service[service]
         )
 
     def _reply(self, node, effect):
@@ -72,12 +91,19 @@
         super()._reply(node, effect)
 
     def offer_share(self, share, from_s, until_s):
-        """Offer a share of the capacity, the same at each node."""
-        speed = sum(target.speed for target in self.targets.values())
-        per_s = share * speed * SLOTS / WORK_S / len(self.nodes)
-        for node in self.nodes:
-            load = Load(node, "/lookup/", per_s, 3.0, WORK_S, from_s, until_s)
-            self.offer(load)
+        """Offer a share of each service's capacity, the same at its callers.
+
+        Callers of a service are at the nodes of two services, its own and the next.
+        """
+        for number in range(self.services):
+            targets = self.by_service[f"s{number}"]
+            following = self.by_service[f"s{(number + 1) % self.services}"]
+            nodes = {target.node for target in targets + following}
+            speed = sum(target.speed for target in targets)
+            per_s = share * speed * SLOTS / WORK_S / len(nodes)
+            for node in sorted(nodes):
+                path = f"/{number}/"
+                self.offer(Load(node, path, per_s, 3.0, WORK_S, from_s, until_s))
 
     def find_settled_s(self, from_s, until_s):
         """Return how long after a moment callers are in time again, or None."""
@@ -89,13 +115,13 @@
         return None
 
 
-def measure(nodes):
+def measure(nodes, domains, services):
     """Return the figures of one size.
 
     A step of the load, then a tenth of the targets eight times as slow, then a load
     above the capacity.
     """
-    fleet = MeasuredFleet(nodes)
+    fleet = MeasuredFleet(nodes, domains, services)
     fleet.offer_share(BEFORE_SHARE, 0.0, END_S)
     fleet.offer_share(AFTER_SHARE - BEFORE_SHARE, STEP_S, END_S)
     fleet.offer_share(OVER_SHARE - AFTER_SHARE, OVER_S, END_S)
@@ -113,9 +139,10 @@
     )
     asks = len(fleet.asks)
     fleet.run(END_S)
-    over_s = END_S - OVER_S
     return {
         "nodes": nodes,
+        "domains": domains,
+        "services": services,
         "busiest_to_mean": shares[-1] * len(shares) / sum(shares),
         "refused_calm": calm[2] / calm[0],
         "refused_beside_room": beside / asks,
@@ -127,7 +154,6 @@
         "settled_slow_s": fleet.find_settled_s(SLOW_S, OVER_S),
         "report_bytes_node_s": fleet.report_bytes / nodes / END_S,
         "crossings": fleet.crossings / fleet.attempts,
-        "over_s": over_s,
     }
 
 
@@ -135,14 +161,14 @@
     """Return the parsed command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--output", default=str(DATA / "policy.json"))
-    parser.add_argument("--nodes", default=",".join(map(str, SIZES)))
+    parser.add_argument("--most", type=int, default=810, help="largest fleet")
     return parser.parse_args(argv)
 
 
 def main(argv=None):
     """Measure all sizes, and write the figures as JSON."""
     arguments = parse_arguments(argv)
-    rows = [measure(int(nodes)) for nodes in arguments.nodes.split(",")]
+    rows = [measure(*size) for size in SIZES if size[0] <= arguments.most]
     content = {"run": describe_run("tools.policy"), "results": rows}
     Path(arguments.output).write_text(json.dumps(content, indent=1) + "\n")
     return 0
