--- /dev/null
+++ b/tools/nodes.py
@@ -0,0 +1,220 @@
+"""Real nodes as processes beside stand-ins of the platform's store and servers.
+
+All on one loop and one loopback network. Only processes started here are signalled.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from balsamdeal.errors import ExchangeError
+from balsamdeal.net.connections import ConnectionPool
+from balsamdeal.net.messages import make_headers
+from standins.server import Server
+from standins.store import Store
+from tools.fleet import ROOT, claim_network
+
+HOST = "shop.example"
+READY_S = 15.0
+# For nodes, callers, readiness and metrics; below the ports that the kernel hands out,
+# as a connection of any process may hold one of those.
+PORTS = (7101, 7102, 7103, 7104)
+
+
+class PlatformNodes:
+    """Nodes beside servers of the service ``desk``; zones are dealt in turn.
+
+    Subclasses say what the store holds, by ``make_entry`` and ``make_configuration``.
+    """
+
+    nodes = 2
+    zones = ("erie", "toledo")
+    ports = PORTS
+
+    async def open(self):
+        """Start everything and wait until all nodes are ready."""
+        self.folder = tempfile.TemporaryDirectory()
+        octet, self.claim = claim_network()
+        self.network = f"127.{octet}.0"
+        self.store = Store()
+        self.store.listen()
+        self.processes = {}
+        self.servers = []
+        self.pool = ConnectionPool(10_000_000)
+        self._logs = []
+        self.store.put("op/config", self.make_configuration(1))
+        for index in range(self.nodes):
+            server = Server(f"i-{index}")
+            await server.listen(self.get_ip(index))
+            self.servers.append(server)
+            self.put_entry(index)
+        await self.open_links()
+        for index in range(self.nodes):
+            self.start_node(index)
+        for index in range(self.nodes):
+            await self.wait_until_ready(index)
+
+    async def open_links(self):
+        """Open what lies between the processes; nothing here."""
+
+    async def close(self):
+        """End everything that was started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self.pool.close()
+        for server in self.servers:
+            server.stop()
+        self.store.stop()
+        self.claim.close()
+        for log in self._logs:
+            log.close()
+        self.folder.cleanup()
+
+    def make_configuration(self, version):
+        """Return a configuration as the store holds it."""
+        raise NotImplementedError
+
+    def make_entry(self, server, zone, **changes):
+        """Return a server's entry as the store holds it."""
+        raise NotImplementedError
+
+    def get_ip(self, index):
+        """Return the address of a VM."""
+        return f"{self.network}.{1 + index}"
+
+    def get_zone(self, index):
+        """Return the failure domain of a VM."""
+        return self.zones[index % len(self.zones)]
+
+    def get_inbound_port(self, index):
+        """Return the port on which a node expects all others, and itself."""
+        return self.ports[0]
+
+    def get_server_address(self, index):
+        """Return where a node finds its server."""
+        return self.servers[index].address
+
+    def get_store_address(self, index):
+        """Return where a node finds the store."""
+        return self.store.address
+
+    def put_entry(self, index, **changes):
+        """Write a server's entry."""
+        server = self.servers[index]
+        entry = self.make_entry(server, self.get_zone(index), **changes)
+        self.store.put(f"servers/{server.instance}", entry)
+
+    def write_settings(self, index, **changes):
+        """Write the settings file of a node; return its path."""
+        _, outbound, ready, _ = self.ports
+        ip = self.get_ip(index)
+        content = {
+            "node-name": f"sidecar-{index}",
+            "zone": self.get_zone(index),
+            "region": "great-lakes",
+            "service": "desk",
+            "app-address": self.get_server_address(index),
+            "listen": {
+                "inbound": f"{ip}:{self.get_inbound_port(index)}",
+                "outbound": f"{ip}:{outbound}",
+                "ready-address": f"{ip}:{ready}",
+            },
+            "bounds": {"grace-s": 6, "retry-budget-ratio": 0.2},
+            "platform": {"address": self.get_store_address(index)},
+            **changes,
+        }
+        path = Path(self.folder.name) / f"{index}.json"
+        path.write_text(json.dumps(content))
+        return path
+
+    def start_node(self, index):
+        """Start a node's process."""
+        path = self.write_settings(index)
+        log = open(Path(self.folder.name) / f"{index}.log", "ab")
+        self._logs.append(log)
+        self.processes[index] = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "balsamdeal.platform",
+                "--metrics-port",
+                str(self.ports[3]),
+            ],
+            cwd=ROOT,
+            env={**os.environ, "BALSAMDEAL_BOOT": str(path)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def signal_node(self, index, number=signal.SIGKILL):
+        """Send a node's process a signal."""
+        self.processes[index].send_signal(number)
+
+    async def is_ready(self, index):
+        """Return whether a node says that it serves callers."""
+        try:
+            answer = await self.pool.fetch(
+                f"{self.get_ip(index)}:{self.ports[2]}",
+                "GET",
+                "/api/readiness",
+                make_headers([]),
+                timeout_s=1.0,
+                new_connection=True,
+            )
+        except ExchangeError:
+            return False  # it does not listen yet, or no more
+        return answer.status == 200
+
+    async def wait_until_ready(self, index):
+        """Wait until a node serves callers."""
+        await self.wait_for(lambda: self.is_ready(index))
+
+    async def wait_for(self, check, bound_s=READY_S):
+        """Wait until an awaited check is true, or raise ``TimeoutError``."""
+        end_s = asyncio.get_running_loop().time() + bound_s
+        while not await check():
+            if asyncio.get_running_loop().time() > end_s:
+                raise TimeoutError("not so in time:\n" + self.read_logs()[-2000:])
+            await asyncio.sleep(0.05)
+
+    def read_logs(self):
+        """Return what all nodes have written."""
+        logs = sorted(Path(self.folder.name).glob("*.log"))
+        return "\n".join(path.read_text() for path in logs)
+
+    async def call(
+        self,
+        path,
+        request_id,
+        index=0,
+        time_left_ms=1500,
+        method=None,
+        body=b"",
+        timeout_s=5.0,
+        new_connection=True,
+    ):
+        """Send one request to a node's port for callers; return the response."""
+        method = method or ("POST" if path.startswith("/once/") else "GET")
+        pairs = [("Host", HOST), ("X-Request-Id", request_id)]
+        pairs.append(("X-Deadline-Ms", str(time_left_ms)))
+        return await self.pool.fetch(
+            f"{self.get_ip(index)}:{self.ports[1]}",
+            method,
+            path,
+            make_headers(pairs),
+            body,
+            timeout_s=timeout_s,
+            new_connection=new_connection,
+        )
+
+    def count_runs(self, request_id):
+        """Return how often servers ran a request."""
+        return sum(server.runs[request_id] for server in self.servers)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -26,7 +26,7 @@
     "tests.platform.test_requests",
 )
 # Fleets of real processes under load leave no processor for other tests.
-ALONE = ("tests.test_processes.",)
+ALONE = ("tests.test_processes.", "tests.tools.test_soak.")
 
 
 class CountingResult(unittest.TextTestResult):
