--- a/standins/server.py
+++ b/standins/server.py
@@ -91,11 +91,13 @@
             return True
         closing = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({closing}, timeout=self.delay_s)
-        if done:
-            return False
-        closing.cancel()
-        await asyncio.wait({closing})
-        return True
+        if not done:
+            closing.cancel()
+            done, _ = await asyncio.wait({closing})
+            if closing.cancelled():
+                return True
+        closing.exception()  # a reset is an end like any other
+        return False
 
     def _answer(self, writer, misbehaviour, request_id, line):
         good = [("X-Request-Id", request_id), ("X-Server-Seal", f"seal-{request_id}")]
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -28,6 +28,8 @@
 BUDGET_BYTES_S = 9000
 BUDGET_ADDED_MS = 0.31
 BUDGET_FORCE_S = 5.0
+# Share of refusals while targets have room that users accept, in percent.
+BUDGET_BESIDE_ROOM = 0.1
 
 
 def read_data(name):
@@ -72,7 +74,7 @@
     return sorted(rows, key=lambda row: row["nodes"])
 
 
-def table_variants(distribution, costs, requests):
+def table_variants(distribution, costs, requests, policy):
     """Return what was measured, variant by variant."""
     rows = []
     for variant in ("direct", "tree", "gossip"):
@@ -114,7 +116,7 @@
     return [row["domains"] * WATCHES_PER_DOMAIN / row["nodes"] for row in rows]
 
 
-def table_roles(distribution, costs, requests):
+def table_roles(distribution, costs, requests, policy):
     """Return the control cost of each role at the two-year size."""
     rows = select(distribution["results"], "tree")
     shares = list_watch_shares(rows)
@@ -175,7 +177,7 @@
     return make_table(header, table) + "\n\n" + notes
 
 
-def table_spread(distribution, costs, requests):
+def table_spread(distribution, costs, requests, policy):
     """Return convergence and source load at the two-year size."""
     rows = select(distribution["results"], "tree")
     nodes = [row["nodes"] for row in rows]
@@ -209,7 +211,7 @@
     return make_table(header, table)
 
 
-def table_content(distribution, costs, requests):
+def table_content(distribution, costs, requests, policy):
     """Return costs against the sizes of content and VM list."""
     rows = []
     for row in costs["configs"]:
@@ -238,7 +240,7 @@
     return make_table(header, rows)
 
 
-def table_requests(distribution, costs, requests):
+def table_requests(distribution, costs, requests, policy):
     """Return what a node adds to calls."""
     rows = []
     for row in requests["added"]:
@@ -273,7 +275,7 @@
     return make_table(header, rows) + "\n\n" + note
 
 
-def table_overload(distribution, costs, requests):
+def table_overload(distribution, costs, requests, policy):
     """Return goodput and latencies under overload."""
     rows = [
         (
@@ -307,16 +309,59 @@
     return make_table(header, rows) + "\n\n" + note
 
 
-def table_sources(distribution, costs, requests):
+def table_sources(distribution, costs, requests, policy):
     """Return the provenance of the data."""
     files = (
         ("distribution.json", distribution),
         ("costs.json", costs),
         ("requests.json", requests),
+        ("policy.json", policy),
     )
     return "\n".join(f"- {describe_source(name, item)}" for name, item in files)
 
 
+def table_policy(distribution, costs, requests, policy):
+    """Return what whole fleets' decisions come to, by size."""
+    rows = [
+        (
+            row["nodes"],
+            row["domains"],
+            row["services"],
+            f"{row['busiest_to_mean']:.2f}",
+            f"{row['refused_calm'] * 100:.2f}",
+            f"{row['refused_slow'] * 100:.2f}",
+            f"{row['refused_beside_room'] * 100:.2f}",
+            judge(row["refused_beside_room"] * 100, BUDGET_BESIDE_ROOM, "%"),
+            f"{row['attempts_calm']:.2f}",
+            f"{row['attempts_over']:.2f}",
+            f"{row['in_time_over']:.2f}",
+            f"{row['settled_step_s']:.2f}",
+            f"{row['settled_slow_s']:.2f}",
+            f"{row['report_bytes_node_s']:.0f}",
+            f"{row['crossings']:.2f}",
+        )
+        for row in policy["results"]
+    ]
+    header = (
+        "nodes",
+        "domains",
+        "services",
+        "busiest target to mean",
+        "refused calm %",
+        "refused, a tenth slow %",
+        "beside room %",
+        "against 0.1 %",
+        "asks a call",
+        "asks a call, overload",
+        "in time, overload",
+        "settled after a step s",
+        "after slow targets s",
+        "reports B/s a node",
+        "crossings",
+    )
+    return make_table(header, rows)
+
+
 TABLES = {
     "variants": table_variants,
     "roles": table_roles,
@@ -324,6 +369,7 @@
     "content": table_content,
     "requests": table_requests,
     "overload": table_overload,
+    "policy": table_policy,
     "sources": table_sources,
 }
 
@@ -332,7 +378,7 @@
     """Return a page with its tables made anew.
 
     :param text: the page.
-    :param data: the three data files' contents.
+    :param data: the data files' contents, in the order of the tables' parameters.
     """
 
     def replace(match):
@@ -344,9 +390,8 @@
 
 def main(argv=None):
     """Rebuild the page and the design page's tables."""
-    data = [
-        read_data(name) for name in ("distribution.json", "costs.json", "requests.json")
-    ]
+    names = ("distribution.json", "costs.json", "requests.json", "policy.json")
+    data = [read_data(name) for name in names]
     for page in (PAGE, ROOT / "docs" / "design" / "distribution.md"):
         page.write_text(rebuild(page.read_text(), data))
         print(f"rebuilt {page.relative_to(ROOT)}")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,12 +24,17 @@
 from tools.nodes import PlatformNodes
 
 STORE_PORT, SERVER_PORT, FIRST_INBOUND_PORT = 7190, 7191, 7110
-CALLS_PER_S = 12.0  # at each node; a quarter of a core for all on the machine used
-FAULT_GAP_S = 0.5
+SERVICES = ("desk", "board")
+CALLS_PER_S = 25.0  # at each node; half of a core for all on the machine used
+# A run lasts so long that faults meet work in the middle of it.
+WORK_S = 0.1
+FAULT_GAP_S = 0.25
 LONGEST_FAULT_S = 3.0
 # A final answer comes within the route's 1.5 s; a process that was stopped, killed or
 # slow on a busy machine is given this much more before a call counts as hung.
 HUNG_S = 12.0
+# All faults end within this: the longest is a stop of six seconds, and a restart.
+FAULTS_END_S = 30.0
 # After the last fault: silent connections are noticed, nodes restarted, entries back.
 RECOVERY_S = 15.0
 TRUTHFUL = (408, 421, 429, 503)
@@ -74,14 +79,31 @@
         self.tasks = set()
 
     def make_configuration(self, version):
-        """Return the two routes of the soak, and one that names the version."""
-        rules = [
-            make_rule("/safe/", service="desk"),
-            {**make_rule("/once/", service="desk"), "kind": "unsafe", "priority": 1},
-            make_rule(f"/v{version}/", service="desk"),
-        ]
+        """Return two routes to each service, and one that names the version."""
+        rules = [make_rule(f"/v{version}/", service=SERVICES[0])]
+        for service in SERVICES:
+            once = make_rule(f"/once/{service}/", service=service)
+            rules.append({**once, "kind": "unsafe", "priority": 1})
+            rules.append(make_rule(f"/safe/{service}/", service=service))
         return make_configuration(version, *rules)
 
+    def get_service(self, index):
+        """Return the service of a VM's server."""
+        return SERVICES[index % len(SERVICES)]
+
+    def get_zone(self, index):
+        """Return the failure domain of a VM: each service has a server in both."""
+        return self.zones[index // 2 % len(self.zones)]
+
+    def put_entry(self, index, **changes):
+        """Write a server's entry."""
+        super().put_entry(index, service=self.get_service(index), **changes)
+
+    def write_settings(self, index, **changes):
+        """Write the settings file of a node; return its path."""
+        service = self.get_service(index)
+        return super().write_settings(index, service=service, **changes)
+
     def make_entry(self, server, zone, **changes):
         """Return a server's entry."""
         return make_entry(server.address, zone=zone, **changes)
@@ -101,6 +123,7 @@
     async def open_links(self):
         """Open the links between nodes, to the servers and to the store."""
         for index in range(self.nodes):
+            self.servers[index].delay_s = WORK_S
             ip = self.get_ip(index)
             await self._open_link(("store", index), ip, STORE_PORT, self.store.address)
             address = self.servers[index].address
@@ -136,7 +159,8 @@
     async def _call(self, index, number, once, new_connection):
         kind = "once" if once else "safe"
         request_id = f"{kind}-{index}-{number}"
-        path = f"/{kind}/{index}/{number}"
+        # Half of the work is for another VM, over links between nodes.
+        path = f"/{kind}/{SERVICES[number % len(SERVICES)]}/{index}/{number}"
         now_s = asyncio.get_running_loop().time()
         outcome = Outcome(request_id, once, now_s)
         self.outcomes.append(outcome)
@@ -202,12 +226,12 @@
     async def _kill(self, indices=None):
         indices = indices or [self.random.randrange(self.nodes)]
         self._note(f"nodes {indices} killed")
-        for index in indices:
-            process = self.processes[index]
+        # Another fault may restart a node meanwhile, so its process is kept here.
+        killed = [(index, self.processes[index]) for index in indices]
+        for _, process in killed:
             self.expected_ends.add(process.pid)
             process.kill()
-        for index in indices:
-            await self._restart(index, self.processes[index])
+        await asyncio.gather(*(self._restart(*item) for item in killed))
 
     async def _kill_all(self):
         await self._kill(list(range(self.nodes)))
@@ -263,7 +287,7 @@
         server.delay_s = self.random.uniform(0.2, 1.0)
         self._note(f"server {server.instance} takes {server.delay_s:.1f} s")
         await asyncio.sleep(for_s)
-        server.delay_s = 0.0
+        server.delay_s = WORK_S
 
     async def _lapse(self):
         index = self.random.randrange(self.nodes)
@@ -283,6 +307,7 @@
         self.gone_servers.append(old)
         host, _, port = old.address.rpartition(":")
         server = Server(f"i-{index}-{len(self.gone_servers)}")
+        server.delay_s = WORK_S
         self.servers[index] = server
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         await server.listen(host, int(port))
@@ -290,16 +315,16 @@
 
     async def _play_faults(self):
         kinds = (
-            (self._break_link, 6),
+            (self._break_link, 12),
             (self._cut_node, 2),
             (self._suspend, 2),
             (self._kill, 2),
-            (self._kill_all, 1),
+            (self._kill_all, 0.5),
             (self._terminate, 2),
             (self._reload, 1),
             (self._break_store, 2),
             (self._publish, 2),
-            (self._misbehave, 3),
+            (self._misbehave, 8),
             (self._slow_down, 2),
             (self._lapse, 1),
             (self._replace, 1),
@@ -312,7 +337,7 @@
             faults.add(asyncio.ensure_future(action()))
             await asyncio.sleep(self.random.expovariate(1 / FAULT_GAP_S))
             self._watch_ends()
-        await asyncio.gather(*faults)
+        await asyncio.wait_for(asyncio.gather(*faults), FAULTS_END_S)
 
     def _watch_ends(self):
         for index, process in self.processes.items():
@@ -350,7 +375,8 @@
         self.store.put("op/config", self.make_configuration(self.version))
         broken = []
         for index in range(self.nodes):
-            for path in (f"/v{self.version}/{index}", f"/once/final/{index}"):
+            paths = [f"/once/{service}/final/{index}" for service in SERVICES]
+            for path in (f"/v{self.version}/{index}", *paths):
 
                 async def served(path=path, index=index):
                     number = len(self.outcomes)
