--- a/tools/soak.py
+++ b/tools/soak.py
@@ -74,6 +74,7 @@
         self.schedule = []
         self.stopping = False
         self.gone_servers = []
+        self.replaced = set()
         self.own_ends = []
         self.expected_ends = set()
         self.tasks = set()
@@ -300,6 +301,9 @@
     async def _replace(self):
         """Another server takes the place of one, at its address."""
         index = self.random.randrange(self.nodes)
+        if index in self.replaced:
+            return  # the next one does not listen yet
+        self.replaced.add(index)
         old = self.servers[index]
         self._note(f"server {old.instance} crashes and is replaced")
         old.stop()
@@ -312,6 +316,7 @@
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         await server.listen(host, int(port))
         self.put_entry(index)
+        self.replaced.discard(index)
 
     async def _play_faults(self):
         kinds = (
