One copy of four things that stood twice; the soak's last calls keep their own outcome

Found by reading the whole change once more; no behaviour of the package changes. - traffic.make_work turns an attempt into the work that its target's node gets; the shell and the queueing fake each had a copy of their own. - calls.py notes the share of refusals in one place for all replies. - standins.server.reset closes with a reset for the server and for links of the soak. - The soak breaks one link or all of a node by one function, and sends its calls after the last fault as it sends all others.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -213,12 +213,11 @@
             self.placement.note_load(target, reply.load, now_s)
         call.reached += reply.reached
         call.last_reason = f"{target.instance}: {reply.reason}"
+        if not reply.unusable:
+            self._note_refusal_share(call.service, reply.outcome == NOT_RUN)
         if reply.outcome == ANSWERED:
-            self._note_refusal_share(call.service, False)
             return self._take_answer(call, target, event, now_s)
         result = []
-        if not reply.unusable:
-            self._note_refusal_share(call.service, reply.outcome == NOT_RUN)
         if reply.reached:
             result += self._note_result(call, target, True, now_s)
         elif reply.unusable:
--- a/balsamdeal/core/traffic.py
+++ b/balsamdeal/core/traffic.py
@@ -210,6 +210,25 @@
     objective_s: float
 
 
+def make_work(effect, work_id, request_id, now_s):
+    """Return the ``WorkReceived`` that an attempt is at its target's node.
+
+    :param effect: the ``SendAttempt``.
+    """
+    return WorkReceived(
+        work_id,
+        request_id,
+        effect.instance,
+        effect.service,
+        effect.idempotent,
+        effect.rank,
+        effect.time_left_s,
+        effect.objective_left_s,
+        effect.objective_s,
+        now_s,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
     """Breaks an attempt off, so that the target's node hears of it.
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -299,20 +299,8 @@
         self._work[work_id] = Work(
             payload, self.settings.service, request_id, effect.attempt_id, None
         )
-        self.handle(
-            traffic.WorkReceived(
-                work_id,
-                request_id,
-                effect.instance,
-                effect.service,
-                effect.idempotent,
-                effect.rank,
-                effect.time_left_s,
-                effect.objective_left_s,
-                effect.objective_s,
-                self.loop.time(),
-            )
-        )
+        now_s = self.loop.time()
+        self.handle(traffic.make_work(effect, work_id, request_id, now_s))
 
     async def _exchange_attempt(self, effect, payload, exchange):
         message = self.codec.encode_work(effect, self.settings.service, payload)
--- a/standins/server.py
+++ b/standins/server.py
@@ -21,6 +21,17 @@
 )
 
 
+def reset(writer):
+    """Close a connection with a reset in place of an end.
+
+    :param writer: the ``asyncio.StreamWriter``.
+    """
+    linger = struct.pack("ii", 1, 0)
+    peer = writer.get_extra_info("socket")
+    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class Server:
     """One application server; ``runs`` counts runs by request id.
 
@@ -105,7 +116,7 @@
         if misbehaviour == "silent":
             return True
         if misbehaviour == "reset":
-            self._reset(writer)
+            reset(writer)
             return False
         if misbehaviour == "garbage":
             writer.write(b"this is no answer\r\n\r\n")
@@ -120,7 +131,7 @@
         if misbehaviour in ("unframed", "unframed-reset"):
             self._write(writer, 200, good, body, framed=False)
             if misbehaviour == "unframed-reset":
-                self._reset(writer)
+                reset(writer)
             return False
         if misbehaviour == "cut":
             self._write(writer, 200, good, body, missing=3)
@@ -130,14 +141,6 @@
             self._write(writer, 200, good, b"a second answer")
         return True
 
-    @staticmethod
-    def _reset(writer):
-        """Close with a reset in place of an end."""
-        linger = struct.pack("ii", 1, 0)
-        peer = writer.get_extra_info("socket")
-        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        writer.transport.abort()
-
     @staticmethod
     def _write(writer, status, headers, body, framed=True, missing=0):
         lines = [f"HTTP/1.1 {status} Status"]
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -185,19 +185,10 @@
         self.crossings += self.domains[node] != self.domains[other]
         work_id = next(self._ids)
         self._work[work_id] = (node, other, effect.attempt_id, effect.call_id)
-        event = (
-            effect.instance,
-            effect.service,
-            effect.idempotent,
-            effect.rank,
-            effect.time_left_s,
-            effect.objective_left_s,
-            effect.objective_s,
-        )
         at_s = self.now_s if effect.local else self.now_s + self._delay_s(node, other)
-        self.at(at_s, self._deliver, work_id, event)
+        self.at(at_s, self._deliver, work_id, effect)
 
-    def _deliver(self, work_id, fields):
+    def _deliver(self, work_id, effect):
         if work_id not in self._work:
             return
         node, other, attempt_id, _ = self._work[work_id]
@@ -206,7 +197,7 @@
             failure = traffic.AttemptFailed(attempt_id, False, "connect", self.now_s)
             self.handle(node, failure)
             return
-        event = traffic.WorkReceived(work_id, str(work_id), *fields, self.now_s)
+        event = traffic.make_work(effect, work_id, str(work_id), self.now_s)
         self.handle(other, event)
 
     def _cancel_attempt(self, node, effect):
--- a/tests/core/test_requests.py
+++ b/tests/core/test_requests.py
@@ -34,6 +34,23 @@
     return [vm.peer_address for vm in ranking]
 
 
+def make_charge(work_id, time_left_s, wall_s, now_s):
+    """Return a charge under the key ``k1`` of members, as a target's node gets it."""
+    return events.WorkReceived(
+        work_id,
+        "desk",
+        ("members", "charge"),
+        1.0,
+        "members/k1",
+        "POST /charges",
+        False,
+        False,
+        time_left_s,
+        wall_s,
+        now_s,
+    )
+
+
 class TruthTest(unittest.TestCase):
     """Common checks over all calls of a test."""
 
@@ -322,20 +339,7 @@
         self.assertEqual(fabric.answers["r1"].outcome, "not-run")
         fabric.down_targets = set()
         fabric.attempts["late"] = (address, fabric.lives[address], "late")
-        flow = ("members", "charge")
-        late = events.WorkReceived(
-            "late",
-            "desk",
-            flow,
-            1.0,
-            "members/k1",
-            "POST /charges",
-            False,
-            False,
-            1.0,
-            sent_s,
-            fabric.now_s,
-        )
+        late = make_charge("late", 1.0, sent_s, fabric.now_s)
         fabric.hand(address, fabric.lives[address], late)
         fabric.run(1)
         self.assertEqual(fabric.runs, {})
@@ -351,21 +355,7 @@
         fabric.hung_targets = {address}
         fabric.call(address, "r1", "k1")
         fabric.run(0.1)
-        flow = ("members", "charge")
-        wall_s = EPOCH_S + fabric.now_s
-        copy = events.WorkReceived(
-            "w1",
-            "desk",
-            flow,
-            1.0,
-            "members/k1",
-            "POST /charges",
-            False,
-            False,
-            9.0,
-            wall_s,
-            fabric.now_s,
-        )
+        copy = make_charge("w1", 9.0, EPOCH_S + fabric.now_s, fabric.now_s)
         node.reduce(copy)
         self.assertIn("w1", node.work.jobs)
         ended = node.reduce(events.WorkAbandoned("w1", fabric.now_s))
--- a/tools/links.py
+++ b/tools/links.py
@@ -1,8 +1,8 @@
 """A loopback proxy between two processes that delays, resets, silences or cuts."""
 
 import asyncio
-import socket
-import struct
+
+from standins.server import reset
 
 PASS, DELAY, RESET, SILENT, UP_ONLY, DOWN_ONLY, REFUSE = (
     "pass",
@@ -52,7 +52,7 @@
         self.mode = mode
         if mode == RESET:
             for writer in self._writers:
-                _reset(writer)
+                reset(writer)
             self.mode = PASS
 
     def _abort_all(self):
@@ -66,7 +66,7 @@
         other_writer = None
         try:
             if self.mode == REFUSE:
-                _reset(writer)
+                reset(writer)
                 return
             other_reader, other_writer = await asyncio.open_connection(*self.target)
             self._writers.add(other_writer)
@@ -95,11 +95,3 @@
                 raise ConnectionResetError("closed")
             writer.write(data)
             await writer.drain()
-
-
-def _reset(writer):
-    """Close with a reset in place of an end."""
-    linger = struct.pack("ii", 1, 0)
-    peer = writer.get_extra_info("socket")
-    peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -162,6 +162,10 @@
         request_id = f"{kind}-{index}-{number}"
         # Half of the work is for another VM, over links between nodes.
         path = f"/{kind}/{SERVICES[number % len(SERVICES)]}/{index}/{number}"
+        await self._send(index, path, request_id, once, new_connection)
+
+    async def _send(self, index, path, request_id, once, new_connection):
+        """Send one request; keep and return what its caller saw."""
         now_s = asyncio.get_running_loop().time()
         outcome = Outcome(request_id, once, now_s)
         self.outcomes.append(outcome)
@@ -175,13 +179,14 @@
             )
         except ExchangeError as error:
             outcome.error = error.step
-            return
+            return outcome
         outcome.status = response.status
         if 200 <= response.status < 300:
             seal = response.headers.get("X-Server-Seal")
             body = response.body.decode()
             if seal != f"seal-{request_id}" or not body.endswith(f" ran {path}"):
                 outcome.wrong = f"{seal} {body}"
+        return outcome
 
     # Faults
 
@@ -191,21 +196,18 @@
 
     async def _break_link(self):
         name = self.random.choice(sorted(self.links, key=str))
-        mode = self.random.choice(FAULTS)
-        for_s = self.random.uniform(0.2, LONGEST_FAULT_S)
-        link = self.links[name]
-        self._note(f"link {name} {mode} for {for_s:.1f} s")
-        link.set_mode(mode)
-        if mode != RESET:
-            await asyncio.sleep(for_s)
-            link.set_mode(PASS)
+        await self._break([self.links[name]], f"link {name}")
 
     async def _cut_node(self):
         index = self.random.randrange(self.nodes)
+        links = [link for name, link in self.links.items() if index in name]
+        await self._break(links, f"all links of node {index}")
+
+    async def _break(self, links, text):
+        """Give links one fault together, for a while."""
         mode = self.random.choice(FAULTS)
         for_s = self.random.uniform(0.2, LONGEST_FAULT_S)
-        self._note(f"all links of node {index} {mode} for {for_s:.1f} s")
-        links = [link for name, link in self.links.items() if index in name]
+        self._note(f"{text} {mode} for {for_s:.1f} s")
         for link in links:
             link.set_mode(mode)
         if mode != RESET:
@@ -384,16 +386,10 @@
             for path in (f"/v{self.version}/{index}", *paths):
 
                 async def served(path=path, index=index):
-                    number = len(self.outcomes)
-                    request_id = f"final-{number}-{index}"
-                    self.outcomes.append(Outcome(request_id, "once" in path, 0.0))
-                    try:
-                        response = await self.call(path, request_id, index)
-                    except ExchangeError as error:
-                        self.outcomes[-1].error = error.step
-                        return False
-                    self.outcomes[number].status = response.status
-                    return response.status == 200
+                    request_id = f"final-{len(self.outcomes)}-{index}"
+                    once = path.startswith("/once/")
+                    outcome = await self._send(index, path, request_id, once, True)
+                    return outcome.status == 200
 
                 try:
                     await self.wait_for(served, RECOVERY_S)
