Log what a read of the source costs: bytes, time, decoding, and a held loop

On the grown deployments logs could not tell a link full of configurations from a loop held by decoding, nor a thin link from a wide one. Each large answer of the source now has a line with bytes and time, each decoded configuration one with the time for which it held the loop, a wake-up that is late by 50 ms has one, and the line of the start tells the VM's link. All are bounded by the pace of reads or of the poll. No decision changes.

--- a/balsamdeal/platform/settings.py
+++ b/balsamdeal/platform/settings.py
@@ -25,6 +25,12 @@
     retry_budget_ratio: float = 0.2
 
 
+class VmLimitsMessage(Message):
+    """What the VM has; ``link_mbps`` is its own link in Mbit/s."""
+
+    link_mbps: float | None = None
+
+
 class PlatformMessage(Message):
     """Where the store is."""
 
@@ -40,6 +46,7 @@
     service: str
     app_address: str
     listen: ListenMessage
+    limits: VmLimitsMessage = VmLimitsMessage()
     bounds: BoundsMessage = BoundsMessage()
     platform: PlatformMessage
 
@@ -73,6 +80,7 @@
             stop_bound_s=message.bounds.grace_s,
             repeat_share=message.bounds.retry_budget_ratio,
             seed=seed,
+            link_mbps=message.limits.link_mbps,
         )
 
     return read
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import time
 from urllib.parse import urlencode
 
 from pydantic import ValidationError
@@ -33,6 +34,8 @@
 # How much longer than a watch waits its answer may take.
 WATCH_MARGIN_S = 0.7
 MAX_ANSWER_BYTES = 16_000_000
+# Answers from this size on get a line in the log, in bytes.
+LARGE_ANSWER_BYTES = 65_536
 
 
 class StoreReader:
@@ -112,6 +115,7 @@
 
     async def _get(self, call, query, timeout_s=READ_TIMEOUT_S):
         """Return the JSON body of an answer, or None for 404."""
+        began_s = time.monotonic()
         try:
             response = await self._pool.fetch(
                 self._address,
@@ -124,6 +128,10 @@
             raise SourceError(error.message, error.step, error.peer) from error
         self._shell.metrics.count("source_calls")
         self._shell.metrics.count("control_bytes", response.size)
+        if response.size >= LARGE_ANSWER_BYTES:
+            took_ms = round((time.monotonic() - began_s) * 1000)
+            fields = {"call": call, "bytes": response.size, "ms": took_ms}
+            logger.info("large answer of the source", extra=fields)
         if response.status == 404:
             return None
         if response.status == GONE:
@@ -154,11 +162,20 @@
     def _decode_configuration(self, item):
         if item is None:
             return None
+        began_s = time.monotonic()
         try:
-            return decode_configuration(decode_value(item))
+            configuration = decode_configuration(decode_value(item))
         except ContentError as error:
             self._note_bad(item.key, item.revision, str(error))
             return None
+        fields = {
+            "version": configuration.version,
+            "revision": item.revision,
+            "bytes": len(item.value),
+            "held_loop_ms": round((time.monotonic() - began_s) * 1000),
+        }
+        logger.info("configuration decoded", extra=fields)
+        return configuration
 
     def _decode_target(self, item):
         port = self._shell.settings.node_address.rpartition(":")[2]
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -27,6 +27,10 @@
 KILL_MARGIN_S = 0.4
 IDLE_POLL_S = 0.05
 SETTINGS_POLL_S = 1.0
+# The loop is asked for a wake-up this often; one that comes later than the bound below
+# tells that something held the loop, in seconds.
+LOOP_POLL_S = 0.25
+LOOP_HELD_S = 0.05
 # A larger gap between the VM's clock and the loop's is a suspension, in seconds.
 SUSPENSION_S = 0.5
 
@@ -78,9 +82,11 @@
     followers = [
         loop.create_task(_follow_settings(shell, reload, read_settings)),
         loop.create_task(_watch_suspensions(shell, feed)),
+        loop.create_task(_watch_loop(shell)),
     ]
     exempt_startup_objects()
-    logger.info("started", extra={"service": settings.service})
+    fields = {"service": settings.service, "link_mbps": settings.link_mbps}
+    logger.info("started", extra=fields)
     await stop.wait()
     await drain(shell)
     for follower in followers:
@@ -122,3 +128,15 @@
             logger.warning("resumed", extra={"away_s": round(gap_s - before_s, 2)})
             shell.drop_idle_connections()
             feed.restart()
+
+
+async def _watch_loop(shell):
+    """Count and log the times for which something held the loop."""
+    while True:
+        due_s = shell.loop.time() + LOOP_POLL_S
+        await asyncio.sleep(LOOP_POLL_S)
+        held_s = shell.loop.time() - due_s
+        if held_s > LOOP_HELD_S:
+            held_ms = round(held_s * 1000)
+            shell.metrics.count("loop_held_ms", held_ms)
+            logger.warning("loop was held", extra={"ms": held_ms})
--- a/balsamdeal/proxysettings.py
+++ b/balsamdeal/proxysettings.py
@@ -13,7 +13,8 @@
     ``node_address`` is where other nodes send work, ``ready_address`` is asked for
     readiness. ``metrics_address`` may be empty. ``stop_bound_s`` is the time between
     a request to stop and a kill. ``repeat_share`` is how many extra attempts the
-    operators allow for each request, over all nodes.
+    operators allow for each request, over all nodes. ``link_mbps`` is the VM's own link
+    in Mbit/s, or None if the platform does not tell.
     """
 
     vm: str
@@ -29,3 +30,4 @@
     stop_bound_s: float
     repeat_share: float
     seed: int
+    link_mbps: float | None = None
