Move what a node holds of a document into a class of its own

The document in force, its history and what was rejected are needed a second time. No change of behaviour: tests.core.test_distribution passes as before.

--- a/balsamdeal/core/distribution.py
+++ b/balsamdeal/core/distribution.py
@@ -14,14 +14,8 @@
 from balsamdeal.core.announcements import Announcements
 from balsamdeal.core.membership import REFUSED
 from balsamdeal.core.sources import Sources
-from balsamdeal.documents import (
-    CHANNELS,
-    CONFIG,
-    NO_VERSION,
-    VMS,
-    apply_delta,
-    compute_delta,
-)
+from balsamdeal.core.versions import Versions
+from balsamdeal.documents import CHANNELS, CONFIG, VMS
 from balsamdeal.errors import ContentError, DocumentError
 from balsamdeal.snapshots import read_vms, render_snapshot
 
@@ -36,28 +30,17 @@
 START_BOUND_S = 2.0
 PULL_TIMEOUT_S = 2.0
 OUTSIDE_SHARE = 0.25
-HISTORY_LENGTH = 8
-REJECTED_LENGTH = 8
 
 
 @dataclass(slots=True)
-class ChannelState:
-    """What this node holds of one channel."""
+class ChannelState(Versions):
+    """What this node holds of one channel, and what peers offer."""
 
-    document: object = None
-    applied_s: float = 0.0
-    history: list = field(default_factory=list)
-    rejected: dict = field(default_factory=dict)
     offers: dict = field(default_factory=dict)
     pull_address: str = ""
     pull_deadline_s: float = 0.0
     source: object = None
 
-    @property
-    def version(self):
-        """The version in force, or NO_VERSION."""
-        return NO_VERSION if self.document is None else self.document.version
-
 
 class Distribution:
     """State of distribution; changed in place, as copying tables costs too much.
@@ -291,7 +274,7 @@
     def take_offer(self, channel, address, version, now_s):
         """Pull a version that a peer holds if it is newer than ours."""
         state = self.channels[channel]
-        if version <= state.version or version in state.rejected:
+        if not state.is_news(version):
             return []
         state.offers[address] = version
         return self._pull(channel, now_s)
@@ -344,8 +327,7 @@
         if event.delta.version <= state.version:
             return self._pull(event.channel, event.now_s)
         try:
-            base = self._find_document(state, event.delta.base)
-            document = apply_delta(base, event.delta)
+            document = state.merge(event.delta)
         except DocumentError:
             self.count("bad_deltas")
             return self._pull(event.channel, event.now_s)
@@ -366,14 +348,7 @@
         state = self.channels[channel]
         if state.document is None:
             return None
-        return compute_delta(self._find_document(state, base), state.document)
-
-    @staticmethod
-    def _find_document(state, version):
-        for document in state.history:
-            if document.version == version:
-                return document
-        return None
+        return state.make_delta(base)
 
     # Versions
 
@@ -381,15 +356,13 @@
         """Apply a document that is newer than the one held, whole or not at all."""
         state = self.channels[channel]
         version = document.version
-        if version <= state.version or version in state.rejected:
+        if not state.is_news(version):
             return []
         try:
             self._apply(channel, document, now_s)
         except ContentError as error:
             return self._reject(state, channel, version, error)
-        state.document = document
-        state.applied_s = now_s
-        state.history = [document, *state.history][:HISTORY_LENGTH]
+        state.keep(document, now_s)
         state.offers = {
             address: offer for address, offer in state.offers.items() if offer > version
         }
@@ -412,9 +385,7 @@
         self.membership.replace_vms(read_vms(document), revision, now_s)
 
     def _reject(self, state, channel, version, error):
-        state.rejected[version] = str(error)
-        while len(state.rejected) > REJECTED_LENGTH:
-            del state.rejected[min(state.rejected)]
+        state.reject(version, str(error))
         self.count("rejected")
         fields = {
             "channel": channel,
