Let nodes follow the configuration through each other, by differences

Callers got 404 for new routes and their calls timed out: on links of 2.5 Mbit/s versions came in force 3 to 10 s late.

Cause: each node read each version whole. A version has 362 KB, 1.2 s of such a link, and in a storm one is written every 1.2 s, so the link carries nothing else. A watch answers with every version since the last: two of them took longer than a watch may last, were given up and read again. The list of targets came in the same answers. The class of fault is cost by fleet size times versions times size, where only a difference of a few hundred bytes counts.

Now two nodes of a failure domain, those with the widest links, watch the source, and after news read the key, which holds the newest alone, until it stays the same. All others keep a question waiting at two nodes of the layer above and get the difference. Targets have a watch of their own, which no version holds up. The reducer is core/following.py; documents, versions and the reader's back-off are those of the product's own distribution.

--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -1,15 +1,17 @@
 """The request path of a node: one reducer over all its events.
 
-It composes the caller's side and the target's side. The configuration and the list
-of targets are state that the shell replaces through ``apply_configuration`` and the
-methods of ``TargetList``.
+It composes the caller's side, the target's side and the following of configurations.
+The list of targets is state that the shell replaces through the methods of
+``TargetList``.
 """
 
 from random import Random
 
-from balsamdeal.core import calls, serving, traffic
+from balsamdeal.core import calls, events, news, serving, traffic
 from balsamdeal.core.calls import Calls
+from balsamdeal.core.following import Following
 from balsamdeal.core.placement import Placement
+from balsamdeal.core.routeparts import make_document, read_configuration
 from balsamdeal.core.serving import Serving
 from balsamdeal.core.targets import TargetList
 
@@ -21,14 +23,19 @@
     :param own_domain: the failure domain of this node.
     :param seed: the seed of all random choices.
     :param repeat_share: extra attempts that operators allow for each request.
+    :param link_mbps: the VM's own link in Mbit/s, or None if it is not known.
     """
 
-    def __init__(self, own_node, own_domain, seed, repeat_share=0.2):
+    def __init__(self, own_node, own_domain, seed, repeat_share=0.2, link_mbps=None):
         random = Random(seed)
+        self._own_domain = own_domain
         self.targets = TargetList()
         self.placement = Placement(self.targets, own_domain, own_node, random)
         self.calls = Calls(self.placement, random, repeat_share)
         self.serving = Serving(self.targets, own_node)
+        self.following = Following(
+            own_node, link_mbps, Random(seed + 1), self._apply_document
+        )
         self._reducers = {
             traffic.CallReceived: self.calls.receive,
             traffic.CallerLeft: self.calls.leave,
@@ -40,6 +47,12 @@
             traffic.TargetFailed: self.serving.take_failure,
             traffic.TimerFired: self._fire_timer,
             traffic.StopRequested: self._stop,
+            news.QuestionReceived: self.following.take_question,
+            news.NewsReceived: self.following.take_news,
+            events.Ticked: self.following.tick,
+            events.PeerFailed: self.following.take_failure,
+            events.SourceAnswered: self.following.take_source_answer,
+            events.SourceFailed: self.following.take_source_failure,
         }
         self._timers = {
             calls.CALL_TIMER: self.calls.time_out,
@@ -57,6 +70,7 @@
             settings.failure_domain,
             settings.seed,
             settings.repeat_share,
+            settings.link_mbps,
         )
 
     def reduce(self, event):
@@ -91,10 +105,29 @@
         self.placement.set_routes(configuration)
         return True
 
+    def _apply_document(self, document):
+        """Put the configuration of a document in force.
+
+        :raises ContentError: when it is none; nothing changes then.
+        """
+        held = self.following.versions.document
+        known = None if held is None else (held, self.calls.configuration)
+        self.apply_configuration(read_configuration(document, known))
+
+    def make_document(self, configuration):
+        """Return the ``Document`` of a ``Configuration`` that the source published."""
+        return make_document(configuration, self.following.versions.document)
+
     def note_targets(self, now_s):
         """Take up a change of the list of targets."""
         self.placement.forget_absent()
         self.serving.note_targets(now_s)
+        members = frozenset(
+            target.node_address
+            for target in self.targets.targets.values()
+            if target.failure_domain == self._own_domain
+        )
+        self.following.list_members(news.MembersListed(members, now_s))
 
     def is_ready(self):
         """Return whether callers are served."""
--- /dev/null
+++ b/balsamdeal/core/routeparts.py
@@ -0,0 +1,108 @@
+"""A configuration as a document of parts, one for each route, and back.
+
+Nodes pass on differences between such documents. Only the parts that differ from a
+known document are decoded.
+"""
+
+import json
+from dataclasses import astuple
+
+from balsamdeal.core.routes import Backend, Configuration, HostRoute, Limits
+from balsamdeal.documents import build_document
+from balsamdeal.errors import ContentError
+
+# Names of the parts that are no routes; those of routes have a slash in them.
+SERVICES = "services"
+LIMITS = "limits"
+
+
+def _pack(values):
+    return json.dumps(values, separators=(",", ":"), ensure_ascii=False)
+
+
+def _encode_route(route):
+    backends = [[backend.service, backend.weight] for backend in route.backends]
+    return _pack(
+        [
+            route.name,
+            backends,
+            int(route.idempotent),
+            route.timeout_s,
+            route.objective_s,
+            route.max_attempts,
+            route.rank,
+        ]
+    )
+
+
+def _decode_route(prefix, text):
+    name, backends, idempotent, timeout_s, objective_s, max_attempts, rank = json.loads(
+        text
+    )
+    return HostRoute(
+        name,
+        prefix,
+        tuple(Backend(service, weight) for service, weight in backends),
+        bool(idempotent),
+        timeout_s,
+        objective_s,
+        max_attempts,
+        rank,
+    )
+
+
+def make_document(configuration, known=None):
+    """Return the ``Document`` of a ``Configuration``.
+
+    :param known: an earlier document, whose hashes are reused for equal parts.
+    """
+    parts = {
+        SERVICES: _pack(sorted(configuration.services)),
+        LIMITS: _pack(astuple(configuration.limits)),
+    }
+    for host, routes in configuration.hosts.items():
+        for prefix, route in routes.items():
+            parts[host + prefix] = _encode_route(route)
+    return build_document(configuration.version, parts, known)
+
+
+def read_configuration(document, known=None):
+    """Return the ``Configuration`` of a document.
+
+    :param document: the ``Document``.
+    :param known: a pair of an earlier document and its configuration, whose routes are
+        kept where their parts are equal.
+    :raises ContentError: when a part is not one of a configuration.
+    """
+    known_document, known_configuration = known or (None, None)
+    known_hashes = known_document.hashes if known_document else {}
+    hosts = dict(known_configuration.hosts) if known_configuration else {}
+    copied = set()
+
+    def open_host(host):
+        if host not in copied:
+            copied.add(host)
+            hosts[host] = dict(hosts.get(host, {}))
+        return hosts[host]
+
+    try:
+        for name in known_hashes.keys() - document.hashes.keys():
+            host, slash, rest = name.partition("/")
+            open_host(host).pop(slash + rest)
+            if not hosts[host]:
+                del hosts[host]
+                copied.discard(host)
+        for name, digest in document.hashes.items():
+            host, slash, rest = name.partition("/")
+            if slash and known_hashes.get(name) != digest:
+                prefix = slash + rest
+                open_host(host)[prefix] = _decode_route(prefix, document.parts[name])
+        return Configuration(
+            document.version.revision,
+            hosts,
+            frozenset(json.loads(document.parts[SERVICES])),
+            Limits(*json.loads(document.parts[LIMITS])),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        message = f"not a configuration: {error}"
+        raise ContentError(message, "decode", str(document.version.revision)) from error
--- a/balsamdeal/core/sources.py
+++ b/balsamdeal/core/sources.py
@@ -38,11 +38,24 @@
 
     :param random: the seeded generator of the reducer.
     :param fleet_size: the expected number of nodes, which spreads starts.
+    :param watch_wait_s: how long a watch waits for news.
+    :param backoff_max_s: the longest pause after a failure, on average half of it.
+    :param news_pause_s: the pause after news, so that a storm becomes a few reads.
     """
 
-    def __init__(self, random, fleet_size):
+    def __init__(
+        self,
+        random,
+        fleet_size,
+        watch_wait_s=WATCH_WAIT_S,
+        backoff_max_s=BACKOFF_MAX_S,
+        news_pause_s=0.0,
+    ):
         self._random = random
         self._spread_s = fleet_size / STARTS_PER_S
+        self._watch_wait_s = watch_wait_s
+        self._backoff_max_s = backoff_max_s
+        self._news_pause_s = news_pause_s
         self._heard_s = None
         self.states = {channel: SourceState() for channel in CHANNELS}
 
@@ -56,6 +69,18 @@
         if self._heard_s is None or heard_s > self._heard_s:
             self._heard_s = heard_s
 
+    def set_backoff(self, backoff_max_s):
+        """Change the longest pause after a failure, in seconds."""
+        self._backoff_max_s = backoff_max_s
+
+    def hasten(self, channel, now_s):
+        """Read a channel's key now, if no read is under way."""
+        self.states[channel].next_read_s = now_s
+
+    def is_failing(self, channel):
+        """Return whether the last read of a channel failed."""
+        return self.states[channel].failures > 0
+
     def get_age_s(self, now_s):
         """Return the time since anybody known heard from the source, or None."""
         return None if self._heard_s is None else max(0.0, now_s - self._heard_s)
@@ -78,7 +103,7 @@
         if not is_reader or version == NO_VERSION:
             return effects.ReadSource(channel, 0, 0.0)
         after = max(version.revision, state.seen_revision)
-        return effects.ReadSource(channel, after, WATCH_WAIT_S)
+        return effects.ReadSource(channel, after, self._watch_wait_s)
 
     def _needs_probe(self, state, now_s):
         """Return whether this node asks the source as nobody else seems to.
@@ -104,6 +129,8 @@
         state.pending = False
         state.failures = 0
         state.next_read_s = event.now_s
+        if event.document is not None:
+            state.next_read_s += self._news_pause_s
         if event.document is None and event.now_s - state.read_s < EMPTY_PAUSE_S:
             # A watch that ends early without news must not become a busy loop.
             state.next_read_s = event.now_s + EMPTY_PAUSE_S
@@ -125,7 +152,7 @@
         state = self.states[event.channel]
         state.pending = False
         state.failures += 1
-        bound_s = min(BACKOFF_MAX_S, BACKOFF_BASE_S * 2 ** min(state.failures, 8))
+        bound_s = min(self._backoff_max_s, BACKOFF_BASE_S * 2 ** min(state.failures, 8))
         if starting:
             bound_s = max(bound_s, START_RETRY_SPREADS * self._spread_s)
         state.next_read_s = event.now_s + self._random.random() * bound_s
--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -139,6 +139,23 @@
     removed: list[str]
 
 
+class QuestionMessage(Model):
+    """A question for a newer configuration; see ``core.news.Question``."""
+
+    base: tuple[int, str] | None
+    wait_s: float
+    links: list[tuple[str, float]]
+
+
+class NewsMessage(Model):
+    """Its answer; see ``core.news.News``."""
+
+    delta: DeltaMessage | None
+    is_behind: bool
+    source_age_s: float | None
+    links: list[tuple[str, float]]
+
+
 class InquiryAnswer(Model):
     """What a node knows of an idempotency key; ``state`` is the key's state there."""
 
--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -1,4 +1,4 @@
-"""Follows the source of configurations and targets: reads, watches, pauses, backoff.
+"""Follows the source's list of targets: reads, watches, pauses, backoff.
 
 The ``reader`` speaks the source's protocol, see ``platform.store``. What is decided
 here is when to read and when to wait.
@@ -19,7 +19,7 @@
 # this node. It must be noticed within the three seconds in which a node counts as calm.
 WATCH_S = 2.0
 # After news a watch pauses, so that a storm of changes becomes a few reads. It stays
-# far below the two seconds in which a configuration must be in force.
+# far below the two seconds after which a leaving target gets nothing new.
 NEWS_PAUSE_S = 0.5
 # Full jitter between attempts: base, doubled with each failure up to the longest.
 RETRY_BASE_S = 0.1
@@ -43,26 +43,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
-    """What the source said: everything, or what has changed.
+class TargetNews:
+    """What the source said of targets: all of them, or what has changed.
 
     ``entries`` are pairs of name and ``Target`` or None, of the whole list; it is None
     in the answer to a watch, which has ``changes``: triples of name, ``Target`` or
     None, and revision. ``revision`` is where the next watch begins.
     """
 
-    configuration: object
     entries: list | None
     changes: list
     revision: int
 
 
 class Feed:
-    """A loop that brings news to the request path.
+    """A loop that brings news of targets to the request path.
 
     :param shell: the ``ProxyShell``.
-    :param reader: the source's client, with ``read_all``, ``watch`` and
-        ``drop_connections``.
+    :param reader: the source's client, with ``read_targets``,
+        ``watch_targets`` and ``drop_connections``.
     :param seed: the seed of the jitter.
     """
 
@@ -103,9 +102,9 @@
         while True:
             try:
                 if revision is None:
-                    news = await self._reader.read_all()
+                    news = await self._reader.read_targets()
                 else:
-                    news = await self._reader.watch(revision, WATCH_S)
+                    news = await self._reader.watch_targets(revision, WATCH_S)
             except HistoryLostError as error:
                 logger.info("source lost its history", extra={"reason": str(error)})
                 revision = None
@@ -134,8 +133,6 @@
 
     def _take(self, news, after_outage):
         """Apply news; return whether there was any."""
-        if news.configuration is not None:
-            self._apply(news.configuration)
         targets = self._shell.proxy.targets
         now_s = self._shell.loop.time()
         if news.entries is not None:
@@ -149,22 +146,7 @@
         if targets.missing and self._expiry is None:
             at_s = max(targets.missing.values())
             self._expiry = self._shell.loop.call_at(at_s + 0.01, self._expire)
-        return changed or news.configuration is not None
-
-    def _apply(self, configuration):
-        shell = self._shell
-        before = shell.proxy.calls.configuration
-        fields = {
-            "version": configuration.version,
-            "before": before.version if before else None,
-            "routes": sum(len(routes) for routes in configuration.hosts.values()),
-        }
-        if shell.proxy.apply_configuration(configuration):
-            shell.apply_limits()
-            logger.info("configuration in force", extra=fields)
-        elif before.version != configuration.version:
-            shell.metrics.count("older_configurations")
-            logger.warning("older configuration ignored", extra=fields)
+        return changed
 
     def _expire(self):
         self._expiry = None
--- a/balsamdeal/net/hops.py
+++ b/balsamdeal/net/hops.py
@@ -21,6 +21,8 @@
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net.messages import Answer, Payload
 
+# Nodes are asked by address; HTTP wants a host in each request.
+HOP_HOST = "n"
 OUTCOMES = (ANSWERED, NOT_RUN, UNKNOWN)
 # Before the head: the format of the hop in the first byte, then the head's length.
 PREFIX = struct.Struct(">I")
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -22,7 +22,8 @@
 from balsamdeal.net.answers import MISDIRECTED, check_answer, make_owner_check
 from balsamdeal.net.connections import ConnectionPool, Exchange
 from balsamdeal.net.control import Control
-from balsamdeal.net.hops import HopCodec
+from balsamdeal.net.following import NEWS_PATH, Follower
+from balsamdeal.net.hops import HOP_HOST, HopCodec
 from balsamdeal.net.messages import (
     HOP_HEADERS,
     Answer,
@@ -43,8 +44,6 @@
 IDLE_ONCE_S = 1.0
 # Largest heads that are read at all; above the configured limit they get 431.
 MAX_HEAD_BYTES = 262_144
-# Nodes are asked by address; HTTP wants a host in each request.
-HOP_HOST = "n"
 # Idle connections are kept this much longer than the limit, so that a request on its
 # way at the limit still arrives.
 IDLE_SLACK_S = 1.0
@@ -96,6 +95,7 @@
         self.target_pool = ConnectionPool(limits.body_bytes, True, IDLE_ONCE_S)
         self.stopping = False
         self.control = Control(self)
+        self.follower = Follower(self)
         self.servers = []
         self._calls = {}
         self._attempts = {}
@@ -103,7 +103,7 @@
         self._kept_answers = {}
         self._work = {}
         self._timers = {}
-        self._tasks = Tasks(self.loop, self.metrics.count)
+        self.tasks = Tasks(self.loop, self.metrics.count)
         self._last_id = 0
         own = {
             name.lower()
@@ -126,6 +126,7 @@
             traffic.CancelWork: self._cancel_work,
             traffic.ReplyWork: self._reply_work,
             traffic.Decision: self._write_decision,
+            **self.follower.runners,
         }
 
     # Life
@@ -134,7 +135,7 @@
         """Open the servers for callers, other nodes, readiness and metrics."""
         settings = self.settings
         self._open(settings.caller_address, self._receive_call, self._get_limits)
-        self._open(settings.node_address, self._receive_work, self._get_hop_limits)
+        self._open(settings.node_address, self._receive_from_node, self._get_hop_limits)
         self._open(settings.ready_address, self.control.answer, self._get_limits)
         if settings.metrics_address:
             address = settings.metrics_address
@@ -178,9 +179,10 @@
 
     def stop(self):
         """Close everything."""
+        self.follower.stop()
         for server in self.servers:
             server.stop()
-        self._tasks.cancel()
+        self.tasks.cancel()
         self.drop_idle_connections()
 
     def handle(self, event):
@@ -191,7 +193,8 @@
         for effect in self.proxy.reduce(event):
             self._runners[type(effect)](effect)
 
-    def _next_id(self):
+    def next_id(self):
+        """Return a number that nothing else of this process has."""
         self._last_id += 1
         return self._last_id
 
@@ -217,7 +220,7 @@
 
     def _receive_call(self, connection, start_line, headers, body):
         now_s = self.loop.time()
-        call_id = self._next_id()
+        call_id = self.next_id()
         payload = Payload(
             start_line.method,
             start_line.path,
@@ -290,10 +293,10 @@
             return
         exchange = Exchange(effect.node_address)
         self._attempts[effect.attempt_id] = exchange
-        self._tasks.spawn(self._exchange_attempt(effect, payload, exchange))
+        self.tasks.spawn(self._exchange_attempt(effect, payload, exchange))
 
     def _start_local(self, effect, payload):
-        work_id = self._next_id()
+        work_id = self.next_id()
         request_id = payload.get_header(self.names.request_id)
         self._attempts[effect.attempt_id] = work_id
         self._work[work_id] = Work(
@@ -351,17 +354,21 @@
 
     # Work at the own target
 
-    def _receive_work(self, connection, start_line, headers, body):
+    def _receive_from_node(self, connection, start_line, headers, body):
+        if start_line.path == NEWS_PATH:
+            self.follower.receive_question(connection, body)
+        else:
+            self._receive_work(connection, start_line, body)
+
+    def _receive_work(self, connection, start_line, body):
         now_s = self.loop.time()
-        work_id = self._next_id()
+        work_id = self.next_id()
         try:
             event, caller_service, payload = self.codec.decode_work(
                 body, work_id, now_s
             )
         except ExchangeError as error:
-            logger.warning("bad work", extra={"reason": str(error)})
-            self.metrics.count("bad_messages")
-            write_response(connection, start_line.method, 400, HTTPHeaders(), b"")
+            self.refuse_message(connection, "bad work", error)
             return
         self._work[work_id] = Work(
             payload, caller_service, event.request_id, None, connection
@@ -369,6 +376,12 @@
         connection.set_close_callback(lambda: self._abandon_work(work_id))
         self.handle(event)
 
+    def refuse_message(self, connection, what, error):
+        """Refuse what another node sent, as it cannot be decoded."""
+        logger.warning(what, extra={"reason": str(error)})
+        self.metrics.count("bad_messages")
+        write_response(connection, "POST", 400, HTTPHeaders(), b"")
+
     def _abandon_work(self, work_id):
         self._clear_timer(WORK_TIMER, work_id)
         if work_id in self._work:
@@ -378,7 +391,7 @@
     def _run_work(self, effect):
         work = self._work[effect.work_id]
         work.exchange = Exchange()
-        self._tasks.spawn(self._exchange_work(effect, work))
+        self.tasks.spawn(self._exchange_work(effect, work))
 
     async def _exchange_work(self, effect, work):
         payload = work.payload
--- a/balsamdeal/net/wire.py
+++ b/balsamdeal/net/wire.py
@@ -1,7 +1,10 @@
 """Conversion between wire models and the core's data classes."""
 
+import zlib
+
 from balsamdeal import models
 from balsamdeal.core.events import Finding, View
+from balsamdeal.core.news import News, Question
 from balsamdeal.core.replies import Load, Reply
 from balsamdeal.documents import CHANNELS, NO_VERSION, Delta, Version
 from balsamdeal.net import messages
@@ -52,24 +55,85 @@
     )
 
 
-def encode_delta(delta):
-    """Return a ``Delta`` as JSON bytes."""
-    message = models.DeltaMessage(
-        base=None if delta.base is None else pack_version(delta.base),
+def _pack_base(base):
+    return None if base is None else pack_version(base)
+
+
+def _read_base(base):
+    return None if base is None else Version(*base)
+
+
+def _make_delta_message(delta):
+    return models.DeltaMessage(
+        base=_pack_base(delta.base),
         version=pack_version(delta.version),
         changed=delta.changed,
         removed=list(delta.removed),
     )
-    return message.model_dump_json().encode()
+
+
+def _read_delta(message):
+    return Delta(
+        _read_base(message.base),
+        Version(*message.version),
+        message.changed,
+        tuple(message.removed),
+    )
+
+
+def encode_delta(delta):
+    """Return a ``Delta`` as JSON bytes."""
+    return _make_delta_message(delta).model_dump_json().encode()
 
 
 def decode_delta(body):
     """Return the ``Delta`` in JSON bytes."""
-    message = models.DeltaMessage.model_validate_json(body)
-    base = None if message.base is None else Version(*message.base)
-    return Delta(
-        base, Version(*message.version), message.changed, tuple(message.removed)
+    return _read_delta(models.DeltaMessage.model_validate_json(body))
+
+
+def encode_question(question):
+    """Return a ``news.Question`` as JSON bytes."""
+    message = models.QuestionMessage(
+        base=_pack_base(question.base),
+        wait_s=question.wait_s,
+        links=list(question.links),
     )
+    return message.model_dump_json().encode()
+
+
+def decode_question(body):
+    """Return the ``news.Question`` in JSON bytes.
+
+    :raises pydantic.ValidationError: when it is none.
+    """
+    message = models.QuestionMessage.model_validate_json(body)
+    base = _read_base(message.base)
+    return Question(base, message.wait_s, tuple(message.links))
+
+
+def encode_news(news):
+    """Return ``news.News`` as deflated JSON: differences may be long and are alike."""
+    message = models.NewsMessage(
+        delta=None if news.delta is None else _make_delta_message(news.delta),
+        is_behind=news.is_behind,
+        source_age_s=news.source_age_s,
+        links=list(news.links),
+    )
+    return zlib.compress(message.model_dump_json().encode())
+
+
+def decode_news(body):
+    """Return the ``news.News`` in deflated JSON.
+
+    :raises ValueError: when it is none; a ``pydantic.ValidationError`` is one.
+    """
+    try:
+        text = zlib.decompress(body)
+    except zlib.error as error:
+        raise ValueError("not deflated") from error
+    message = models.NewsMessage.model_validate_json(text)
+    delta = None if message.delta is None else _read_delta(message.delta)
+    return News(delta, message.is_behind, message.source_age_s, tuple(message.links))
 
 
 def encode_reply(attempt, reply, config):
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -15,7 +15,7 @@
     SourceError,
 )
 from balsamdeal.net.connections import ConnectionPool
-from balsamdeal.net.feed import News
+from balsamdeal.net.feed import TargetNews
 from balsamdeal.platform.messages import (
     ItemMessage,
     decode_configuration,
@@ -26,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
 SERVERS_PREFIX = "servers/"
 GONE = 410
 # Time for an answer that waits for nothing. The store answers in milliseconds; slow
@@ -33,13 +34,15 @@
 READ_TIMEOUT_S = 2.0
 # How much longer than a watch waits its answer may take.
 WATCH_MARGIN_S = 0.7
+# A whole version may take this many times as long as its bytes take on an idle link.
+TRANSFER_FACTOR = 2.0
 MAX_ANSWER_BYTES = 16_000_000
 # Answers from this size on get a line in the log, in bytes.
 LARGE_ANSWER_BYTES = 65_536
 
 
 class StoreReader:
-    """Reads configurations and targets.
+    """Reads configurations and targets, each on a watch of its own.
 
     :param shell: the ``ProxyShell``, for its settings and metrics.
     """
@@ -48,21 +51,103 @@
         self._shell = shell
         self._pool = ConnectionPool(MAX_ANSWER_BYTES)
         self._bad = {}
+        self._revision = None
+        self._taken_revision = None
+        self._taken_version = 0
+        self._unsettled = True
+        self._transfer_s = 0.0
 
     def drop_connections(self):
         """Close idle connections to the store."""
         self._pool.drop_idle(self._address)
 
-    async def read_all(self):
-        """Return ``News`` of the configuration and all targets."""
-        body = await self._get("kv-key", {"key": CONFIGURATION_KEY})
-        configuration = None
-        if body is not None:
-            configuration = self._decode_configuration(self._parse_item(body))
+    async def read_configuration(self, after, wait_s):
+        """Return the newest version's number, and the ``Configuration`` if it is news.
+
+        A watch returns each version since the revision that it begins at. After news
+        the key is read instead, which holds the newest alone, until it stays the same.
+
+        :param after: the version held, which the answer repeats if nothing is newer.
+        :param wait_s: how long to wait for news, in seconds; 0 for a read.
+        :raises SourceError: when it cannot be read.
+        """
+        try:
+            # Other nodes may have brought versions that a watch would repeat.
+            is_current = after == self._taken_version and not self._unsettled
+            if not (wait_s and is_current):
+                found = await self._read_newest(after)
+                if found is not None or not wait_s:
+                    return self._tell(found, after)
+            return self._tell(await self._watch_configuration(after, wait_s), after)
+        except HistoryLostError as error:
+            logger.info("source lost its history", extra={"reason": str(error)})
+            return self._tell(await self._read_newest(after), after)
+        except SourceError:
+            # Many versions may be waiting by the next read.
+            self._unsettled = True
+            raise
+
+    def _tell(self, configuration, after):
+        if configuration is None:
+            return max(after, self._taken_version), None
+        return configuration.version, configuration
+
+    async def _read_newest(self, after):
+        timeout_s = READ_TIMEOUT_S + self._transfer_s
+        body = await self._get("kv-key", {"key": CONFIGURATION_KEY}, timeout_s)
+        if body is None:
+            return None
+        revision = self._get_revision(body)
+        configuration = self._take_item(self._parse_item(body), after)
+        self._revision = revision
+        return configuration
+
+    async def _watch_configuration(self, after, wait_s):
+        query = {
+            "path-prefix": OPERATOR_PREFIX,
+            "after": self._revision,
+            "wait-ms": int(wait_s * 1000),
+        }
+        timeout_s = wait_s + WATCH_MARGIN_S + self._transfer_s
+        body = await self._get("kv-watch", query, timeout_s)
+        if body is None:
+            raise SourceError("no answer to a watch", "answer", self._address)
+        revision = self._get_revision(body)
+        items = [self._parse_item(item) for item in body.get("events", ())]
+        written = [
+            item
+            for item in items
+            if item is not None and item.key == CONFIGURATION_KEY and not item.deleted
+        ]
+        newest = max(written, key=lambda item: item.revision, default=None)
+        configuration = self._take_item(newest, after)
+        self._revision = revision
+        return configuration
+
+    def _take_item(self, item, after):
+        """Return the configuration in an item if it is newer than ``after``."""
+        is_first = self._taken_revision is None
+        self._unsettled = False
+        if item is None or item.revision == self._taken_revision:
+            return None
+        self._taken_revision = item.revision
+        link_mbps = self._shell.settings.link_mbps
+        if link_mbps:
+            size = len(item.value)
+            self._transfer_s = TRANSFER_FACTOR * size * 8 / (link_mbps * 1e6)
+        configuration = self._decode_configuration(item)
+        if configuration is None:
+            return None
+        self._taken_version = configuration.version
+        if configuration.version <= after:
+            return None
+        self._unsettled = not is_first
+        return configuration
+
+    async def read_targets(self):
+        """Return ``TargetNews`` of all targets."""
         entries, revision = await self._list_targets()
-        if body is not None:
-            revision = min(revision, self._get_revision(body))
-        return News(configuration, entries, [], revision)
+        return TargetNews(entries, [], revision)
 
     async def _list_targets(self):
         entries = {}
@@ -83,31 +168,26 @@
                 return list(entries.items()), revision
             query["after"] = items[-1].key
 
-    async def watch(self, after, wait_s):
-        """Return ``News`` since a revision, at once or when there is some.
-
-        One watch serves both: the empty prefix covers all keys, and a watch that waits
-        counts as a call.
+    async def watch_targets(self, after, wait_s):
+        """Return ``TargetNews`` since a revision, at once or when there is some.
 
         :param after: the revision.
         :param wait_s: how long the store may wait for a change, in seconds.
         """
-        query = {"path-prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
+        query = {
+            "path-prefix": SERVERS_PREFIX,
+            "after": after,
+            "wait-ms": int(wait_s * 1000),
+        }
         body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
         if body is None:
             raise SourceError("no answer to a watch", "answer", self._address)
-        items = [self._parse_item(item) for item in body.get("events", ())]
-        configuration = None
         changes = []
-        for item in items:
-            if item is None:
-                continue
-            if item.key == CONFIGURATION_KEY and not item.deleted:
-                configuration = self._decode_configuration(item) or configuration
-            elif item.key.startswith(SERVERS_PREFIX):
+        for item in map(self._parse_item, body.get("events", ())):
+            if item is not None:
                 target = None if item.deleted else self._decode_target(item)
                 changes.append((item.key, target, item.revision))
-        return News(configuration, None, changes, self._get_revision(body))
+        return TargetNews(None, changes, self._get_revision(body))
 
     @property
     def _address(self):
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -77,8 +77,10 @@
     except OSError as error:
         logger.error("cannot listen", extra={"reason": str(error)})
         return EXIT_ADDRESS
-    feed = Feed(shell, make_reader(shell), settings.seed)
+    reader = make_reader(shell)
+    feed = Feed(shell, reader, settings.seed)
     feed.start()
+    shell.follower.start(reader.read_configuration)
     followers = [
         loop.create_task(_follow_settings(shell, reload, read_settings)),
         loop.create_task(_watch_suspensions(shell, feed)),
--- /dev/null
+++ b/tests/net/test_wire.py
@@ -0,0 +1,34 @@
+"""Tests of what nodes send each other about configurations."""
+
+import unittest
+
+from balsamdeal.core.news import News, Question
+from balsamdeal.documents import Delta, Version
+from balsamdeal.net import wire
+
+LINKS = (("10.0.0.1:8145", 50.0), ("10.0.0.2:8145", 2.5))
+
+
+class NewsTest(unittest.TestCase):
+    """Questions and answers come out as they went in."""
+
+    def test_question(self):
+        for base in (None, Version(3, "abc")):
+            question = Question(base, 1.0, LINKS)
+            self.assertEqual(
+                wire.decode_question(wire.encode_question(question)), question
+            )
+
+    def test_news(self):
+        delta = Delta(Version(3, "a"), Version(4, "b"), {"h/a/": "[]"}, ("h/b/",))
+        for news in (News(delta, False, 0.5, LINKS), News(None, True, None, ())):
+            self.assertEqual(wire.decode_news(wire.encode_news(news)), news)
+
+    def test_what_is_no_message(self):
+        for body in (b"", b"{}", b"\xff", wire.encode_question(Question(None, 1, ()))):
+            with self.subTest(body), self.assertRaises(ValueError):
+                wire.decode_news(body)
+            if body.startswith(b'{"'):
+                continue
+            with self.subTest(body), self.assertRaises(ValueError):
+                wire.decode_question(body)
