--- a/balsamdeal/__init__.py
+++ b/balsamdeal/__init__.py
@@ -1,3 +1,3 @@
 """balsamdeal distributes configuration through a service mesh and routes by it."""
 
-__version__ = "0.3.0"
+__version__ = "0.4.0"
