--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -2,9 +2,18 @@
 
 import base64
 import json
-from typing import Annotated, Literal
-
-from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
+from functools import partial
+from itertools import repeat
+from typing import Annotated, Any, Literal
+
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
 
 from balsamdeal.core.routes import Backend, Configuration, HostRoute, Limits
 from balsamdeal.core.targets import Target
@@ -32,8 +41,16 @@
 
 
 # Versions are numbers in hexadecimal digits.
-HexNumber = Annotated[int, BeforeValidator(lambda text: int(text, 16))]
+HexNumber = Annotated[str, AfterValidator(partial(int, base=16))]
 Text = Annotated[str, Field(min_length=1)]
+Prefix = Annotated[str, Field(pattern="^/")]
+Positive = Annotated[float, Field(gt=0)]
+Count = Annotated[int, Field(ge=1)]
+# A field without a column is null in each row.
+ABSENT = repeat(None)
+DEFAULT_OBJECTIVE_S = 1.0
+DEFAULT_MAX_ATTEMPTS = 1
+DEFAULT_RANK = 0
 
 
 class BackendMessage(Message):
@@ -43,43 +60,54 @@
     weight: float = Field(ge=0)
 
 
-class ActionMessage(Message):
-    """Where a rule sends requests: one service, or several with weights."""
+class Table(Message):
+    """Rows of values, and the names of their columns in any order."""
 
-    service: Text | None = None
-    weighted_backends: list[BackendMessage] | None = None
-    timeout_s: float = Field(gt=0)
-    max_attempts: int = Field(default=1, ge=1)
+    columns: list[str]
+    rows: list[list[Any]]
 
 
-class MatchMessage(Message):
-    """What a rule applies to."""
-
-    path_prefix: str = Field(pattern="^/")
+class TableMessage(Message):
+    """Base of messages that come as a table; each field is a column.
 
+    Checking a column at once costs less than a message for each row. Null stands for a
+    field that a row does not have.
+    """
 
-class RuleMessage(Message):
-    """A route; ``kind`` says whether a request may run more than once."""
+    @model_validator(mode="before")
+    @classmethod
+    def _turn(cls, content):
+        table = Table.model_validate(content)
+        if any(len(row) != len(table.columns) for row in table.rows):
+            raise ValueError("a row has more or fewer values than there are columns")
+        return {
+            name: tuple([row[place] for row in table.rows])
+            for place, name in enumerate(table.columns)
+        }
 
-    name: Text
-    kind: Literal["safe", "unsafe"]
-    target_latency_s: float = Field(default=1.0, gt=0)
-    priority: int = 0
-    match: MatchMessage
-    action: ActionMessage
 
+class RouteColumns(TableMessage):
+    """Routes; ``kind`` says whether a request may run more than once.
 
-class ListenerMessage(Message):
-    """The routes of a host."""
+    A route has a service, or several with weights.
+    """
 
-    host: Text
-    route_rules: list[RuleMessage]
+    host: tuple[Text, ...]
+    name: tuple[Text, ...]
+    path_prefix: tuple[Prefix, ...]
+    kind: tuple[Literal["safe", "unsafe"], ...]
+    service: tuple[Text | None, ...] = ABSENT
+    weighted_backends: tuple[list[BackendMessage] | None, ...] = ABSENT
+    timeout_s: tuple[Positive, ...]
+    target_latency_s: tuple[Positive | None, ...] = ABSENT
+    max_attempts: tuple[Count | None, ...] = ABSENT
+    priority: tuple[int | None, ...] = ABSENT
 
 
-class ClusterMessage(Message):
-    """A service."""
+class ServiceColumns(TableMessage):
+    """Services."""
 
-    name: Text
+    name: tuple[Text, ...]
 
 
 class LimitsMessage(Message):
@@ -96,8 +124,8 @@
 
     version: HexNumber
     limits: LimitsMessage
-    listeners: list[ListenerMessage]
-    clusters: list[ClusterMessage]
+    routes: RouteColumns
+    services: ServiceColumns
 
 
 class ServerMessage(Message):
@@ -123,27 +151,41 @@
     deleted: bool = False
 
 
-def _build_route(rule):
-    action = rule.action
-    parts = action.weighted_backends
+def _build_backends(route, service, parts, services):
+    """Return the backends of the route of that name."""
     if parts is None:
-        if action.service is None:
-            raise ContentError("names no service", "resolve", rule.name)
-        backends = (Backend(action.service, 1.0),)
+        if service is None:
+            raise ContentError("names no service", "resolve", route)
+        backends = (Backend(service, 1.0),)
     else:
-        backends = tuple(Backend(part.service, part.weight) for part in parts)
-        if sum(backend.weight for backend in backends) <= 0:
-            raise ContentError("has no weight above zero", "resolve", rule.name)
-    return HostRoute(
-        rule.name,
-        rule.match.path_prefix,
-        backends,
-        rule.kind == "safe",
-        action.timeout_s,
-        rule.target_latency_s,
-        action.max_attempts,
-        rule.priority,
+        backends = tuple([Backend(part.service, part.weight) for part in parts])
+        if sum([backend.weight for backend in backends]) <= 0:
+            raise ContentError("has no weight above zero", "resolve", route)
+    for backend in backends:
+        if backend.service not in services:
+            reason = f"unknown service {backend.service}"
+            raise ContentError(reason, "resolve", route)
+    return backends
+
+
+def _build_hosts(routes, services):
+    """Return the routes by host and prefix."""
+    parts = zip(routes.name, routes.service, routes.weighted_backends)
+    built = map(
+        HostRoute,
+        routes.name,
+        routes.path_prefix,
+        [_build_backends(*part, services) for part in parts],
+        [kind == "safe" for kind in routes.kind],
+        routes.timeout_s,
+        (value or DEFAULT_OBJECTIVE_S for value in routes.target_latency_s),
+        (value or DEFAULT_MAX_ATTEMPTS for value in routes.max_attempts),
+        (value or DEFAULT_RANK for value in routes.priority),
     )
+    hosts = {}
+    for host, route in zip(routes.host, built):
+        hosts.setdefault(host.lower(), {})[route.prefix] = route
+    return hosts
 
 
 def decode_configuration(content):
@@ -157,17 +199,8 @@
         fault = error.errors()[0]
         reason = f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
         raise ContentError(reason, "validate", "configuration") from error
-    services = frozenset(cluster.name for cluster in message.clusters)
-    hosts = {}
-    for listener in message.listeners:
-        routes = hosts.setdefault(listener.host.lower(), {})
-        for rule in listener.route_rules:
-            route = _build_route(rule)
-            for backend in route.backends:
-                if backend.service not in services:
-                    reason = f"unknown service {backend.service}"
-                    raise ContentError(reason, "resolve", rule.name)
-            routes[route.prefix] = route
+    services = frozenset(message.services.name)
+    hosts = _build_hosts(message.routes, services)
     limits = Limits(
         message.limits.max_header_bytes,
         message.limits.max_body_bytes,
