Count retry budgets over the operators' window, so that none is saved up

Cause: requests and extra attempts decayed with a half-life of 10 s, that is a memory of 14 s. After calm seconds a node could spend the share of all that at once and go on with the current share: 2.8 times the rate of calls in 10 s, where 2.0 are allowed. Class of fault: a limit kept over another span than the one that it is judged by.

Both are now counted over a sliding window of 10 s, so the extra attempts of any span of 10 s are at most the share of the requests of one, and one free a node.

--- a/balsamdeal/core/retries.py
+++ b/balsamdeal/core/retries.py
@@ -1,14 +1,28 @@
 """The retry budget: attempts beyond the first as a share of recent traffic."""
 
 import math
+from collections import deque
+from dataclasses import dataclass
 
 BUDGET_SHARE = 0.1
-HALF_LIFE_S = 10.0
+# Operators bound extra attempts over any span of this length. A budget that remembers
+# requests for longer than attempts would save up more than that.
+WINDOW_S = 10.0
+SLOT_S = 0.5
 FREE_RETRIES = 1.0
 
 
+@dataclass(slots=True)
+class _Slot:
+    """Counts of one slot of time."""
+
+    number: int
+    requests: float = 0.0
+    extra: float = 0.0
+
+
 class RetryBudget:
-    """Decaying counts of requests and extra attempts of one service.
+    """Requests and extra attempts of one service within a sliding window.
 
     :param share: extra attempts allowed for each request.
     """
@@ -17,18 +31,23 @@
         self.share = share
         self.requests = 0.0
         self.extra = 0.0
-        self._updated_s = None
-
-    def _decay(self, now_s):
-        if self._updated_s is not None:
-            factor = math.exp2((self._updated_s - now_s) / HALF_LIFE_S)
-            self.requests *= factor
-            self.extra *= factor
-        self._updated_s = now_s
+        self._slots = deque()
+
+    def _open_slot(self, now_s):
+        """Drop what is older than the window; return the slot of now."""
+        number = math.floor(now_s / SLOT_S)
+        slots = self._slots
+        while slots and slots[0].number < number - WINDOW_S / SLOT_S:
+            old = slots.popleft()
+            self.requests -= old.requests
+            self.extra -= old.extra
+        if not slots or slots[-1].number != number:
+            slots.append(_Slot(number))
+        return slots[-1]
 
     def note_request(self, now_s):
         """Count a request."""
-        self._decay(now_s)
+        self._open_slot(now_s).requests += 1
         self.requests += 1
 
     def spend(self, now_s, cost=1.0):
@@ -36,8 +55,9 @@
 
         :param cost: how many requests the attempt leads to.
         """
-        self._decay(now_s)
+        slot = self._open_slot(now_s)
         if self.extra + cost > FREE_RETRIES * cost + self.requests * self.share:
             return False
+        slot.extra += cost
         self.extra += cost
         return True
