--- a/balsamdeal/core/following.py
+++ b/balsamdeal/core/following.py
@@ -115,6 +115,10 @@
         own = (self.own_node, self._links[self.own_node])
         return tuple(told if own in told else [*told, own])
 
+    def list_ranking(self):
+        """Return the nodes of the domain in this view, the first to watch first."""
+        return list(self._ranking)
+
     def _list_present(self, now_s):
         """Return the ranking without those that are passed over."""
         return [
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -14,7 +14,7 @@
 logger = logging.getLogger(__name__)
 
 NEWS_PATH = "/news"
-TICK_S = 0.1
+TICK_S = 0.2
 # How much longer than a question waits its answer may take: links may be busy.
 ANSWER_MARGIN_S = 1.0
 
