Storm test: count a link's room over the time that the storm took

The room was that of 20 versions 0.18 s apart, but the storm had taken longer, and a watching node reads once for each pause after news. The room of a link is its width times the time that passed; the bound is as strict.

--- a/tests/platform/test_spread.py
+++ b/tests/platform/test_spread.py
@@ -54,12 +54,15 @@
         for index in range(self.nodes):
             await self.wait_for_route(index, "/new1/")
         before = [await self.read_control_bytes(index) for index in range(self.nodes)]
+        began_s = asyncio.get_running_loop().time()
         for version in range(2, VERSIONS + 2):
             self.store.put("op/config", self.make_configuration(version))
             await asyncio.sleep(GAP_S)
+        took_s = asyncio.get_running_loop().time() - began_s
         for index in range(self.nodes):
             await self.wait_for_route(index, f"/new{VERSIONS + 1}/")
-        room = LINK_BYTES_PER_S * (VERSIONS * GAP_S + IN_FORCE_S)
+        # A busy machine writes the versions over a longer time.
+        room = LINK_BYTES_PER_S * (took_s + IN_FORCE_S)
         for index in range(self.nodes):
             with self.subTest(index):
                 used = await self.read_control_bytes(index) - before[index]
