--- a/balsamdeal/core/following.py
+++ b/balsamdeal/core/following.py
@@ -102,13 +102,21 @@
         self._waiting = {}
         self._is_behind = False
         self._next_behind_s = 0.0
+        self._next_behind_ask_s = 0.0
+        self._read_from = NO_VERSION
 
     # Who asks whom
 
     def list_members(self, event):
         """Take the nodes of the own failure domain."""
         self._members = event.addresses | {self.own_node}
-        for known in (self._links, self._passed_over, self._failures, self._good):
+        for known in (
+            self._links,
+            self._passed_over,
+            self._failures,
+            self._good,
+            self._asked,
+        ):
             for address in known.keys() - self._members:
                 del known[address]
         self._first_hand &= self._members
@@ -214,8 +222,8 @@
 
     def _ask_all(self, parents, now_s):
         """Ask those that are not being asked."""
-        if self.versions.document is None or self._is_behind:
-            return []  # a whole version comes from the source
+        if not self._may_ask(now_s):
+            return []
         may_try = now_s >= self._next_try_s
         return [
             self._ask(address, now_s, self._choose_wait_s(now_s))
@@ -223,6 +231,18 @@
             if address not in self._asked and (may_try or address in self._good)
         ]
 
+    def _may_ask(self, now_s):
+        """Return whether another node may have what this one needs.
+
+        A whole version comes from the source. If that fails, others are asked again now
+        and then: they may have a difference by then.
+        """
+        if self.versions.document is None:
+            return False
+        if not self._is_behind:
+            return True
+        return self.sources.is_failing(CONFIG) and now_s >= self._next_behind_ask_s
+
     def _choose_wait_s(self, now_s):
         """Return a whole wait, or half of one if a question has just been asked.
 
@@ -236,9 +256,7 @@
 
     def _ask_again(self, now_s):
         """Ask one of the nodes that failed; they are passed over until they answer."""
-        if self.versions.document is None or self._is_behind:
-            return []
-        if now_s < self._next_again_s:
+        if now_s < self._next_again_s or not self._may_ask(now_s):
             return []
         due = [item for item in self._failures if now_s >= self._passed_over[item]]
         due.sort(key=self._passed_over.get)
@@ -268,12 +286,13 @@
         effect = self.sources.begin_read(CONFIG, held, is_reader, now_s)
         if effect is None:
             return []
+        self._read_from = held
         # Whoever knows that there is something newer need not wait for it.
         return [replace(effect, wait_s=0.0) if self._is_behind else effect]
 
     def _ask(self, address, now_s, wait_s):
-        self._asked[address] = (now_s, wait_s)
         question = news.Question(self.versions.version, wait_s, self._tell_links())
+        self._asked[address] = (now_s, question)
         return news.Ask(address, question)
 
     def _end_waits(self, layer, now_s):
@@ -355,12 +374,14 @@
     def take_news(self, event):
         """Put a newer version in force, or note that this node is behind."""
         address, answer, now_s = event.address, event.news, event.now_s
-        asked_s, wait_s = self._asked.pop(address, (now_s, 0.0))
+        if address not in self._asked:
+            return []  # it has left the domain meanwhile
+        asked_s, question = self._asked.pop(address)
         self._failures.pop(address, None)
         self._learn_links(answer.links, address)
         layer = self._place(now_s)[0]
         # In its own view of the layers it may have lost the source sooner.
-        is_early = now_s - asked_s < wait_s / 2
+        is_early = now_s - asked_s < question.wait_s / 2
         is_early = is_early and answer.delta is None and not answer.is_behind
         if is_early or _is_too_old(answer.source_age_s, max(0, layer - 1)):
             self._passed_over[address] = now_s + LOST_SOURCE_PAUSE_S
@@ -372,7 +393,9 @@
             self._good[address] = now_s
             self._bad_answers = max(0, self._bad_answers - 1)
             self.sources.note_heard(now_s - answer.source_age_s)
-        if answer.is_behind:
+        # Another node may have brought what this one was behind.
+        if answer.is_behind and question.base == self.versions.version:
+            self._next_behind_ask_s = now_s + FAILURE_PAUSE_S
             self._note_behind(now_s)
         delta = answer.delta
         if delta is None or not self.versions.is_news(delta.version):
@@ -402,7 +425,8 @@
     def take_failure(self, event):
         """Pass a node over that gave no answer."""
         address = event.address
-        self._asked.pop(address, None)
+        if self._asked.pop(address, None) is None:
+            return []  # it has left the domain meanwhile
         count = self._failures.get(address, 0)
         self._failures[address] = count + 1
         pause_s = min(FAILURE_PAUSE_MAX_S, FAILURE_PAUSE_S * 2**count)
@@ -420,7 +444,8 @@
 
     def take_source_answer(self, event):
         """Put what the source has in force, if it is newer."""
-        current, result = self.sources.take_answer(event, self.versions.version)
+        # Other nodes may have brought newer versions since the read began.
+        current, result = self.sources.take_answer(event, self._read_from)
         if not current:
             return result
         if self._is_behind and event.document is None:
