--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -14,6 +14,7 @@
 from balsamdeal.core.routeparts import make_document, read_configuration
 from balsamdeal.core.serving import Serving
 from balsamdeal.core.targets import TargetList
+from balsamdeal.errors import ContentError
 
 
 class Proxy:
@@ -112,7 +113,9 @@
         """
         held = self.following.versions.document
         known = None if held is None else (held, self.calls.configuration)
-        self.apply_configuration(read_configuration(document, known))
+        if not self.apply_configuration(read_configuration(document, known)):
+            number = document.version.revision
+            raise ContentError("another content of a version", "apply", str(number))
 
     def make_document(self, configuration):
         """Return the ``Document`` of a ``Configuration`` that the source published."""
--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -5,6 +5,10 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
 MAX_TIMEOUT_S = 300.0
+# Bounds of what other nodes may send: a wait, links and their width.
+MAX_WAIT_S = 10.0
+MAX_LINKS = 64
+MAX_LINK_MBPS = 1e6
 
 
 def _check_address(value):
@@ -139,12 +143,18 @@
     removed: list[str]
 
 
+# Numbers from another node: a wait in seconds, a link in Mbit/s.
+Wait = Annotated[float, Field(ge=0, le=MAX_WAIT_S)]
+Link = Annotated[float, Field(ge=0, le=MAX_LINK_MBPS)]
+Age = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
+
 class QuestionMessage(Model):
     """A question for a newer configuration; see ``core.news.Question``."""
 
     base: tuple[int, str] | None
-    wait_s: float
-    links: list[tuple[str, float]]
+    wait_s: Wait
+    links: Annotated[list[tuple[str, Link]], Field(max_length=MAX_LINKS)]
 
 
 class NewsMessage(Model):
@@ -152,8 +162,8 @@
 
     delta: DeltaMessage | None
     is_behind: bool
-    source_age_s: float | None
-    links: list[tuple[str, float]]
+    source_age_s: Age | None
+    links: Annotated[list[tuple[str, Link]], Field(max_length=MAX_LINKS)]
 
 
 class InquiryAnswer(Model):
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -8,12 +8,14 @@
 from balsamdeal.documents import CONFIG
 from balsamdeal.errors import ExchangeError, SourceError
 from balsamdeal.net import wire
+from balsamdeal.net.connections import ConnectionPool
 from balsamdeal.net.hops import HOP_HOST
 from balsamdeal.net.messages import write_response
 
 logger = logging.getLogger(__name__)
 
 NEWS_PATH = "/news"
+MAX_NEWS_BYTES = 4_000_000
 TICK_S = 0.1
 # How much longer than a question waits its answer may take: links may be busy.
 ANSWER_MARGIN_S = 0.7
@@ -27,6 +29,8 @@
 
     def __init__(self, shell):
         self._shell = shell
+        # A late answer closes the kept connections to a node; those of calls stay.
+        self.pool = ConnectionPool(MAX_NEWS_BYTES)
         self._read = None
         self._ticker = None
         self._askers = {}
@@ -80,17 +84,25 @@
             version, configuration = await self._read(
                 effect.after_revision, effect.wait_s
             )
+            document = None
+            if configuration is not None:
+                document = shell.proxy.make_document(configuration)
         except SourceError as error:
-            shell.metrics.count("source_failures")
-            now_s = shell.loop.time()
-            shell.handle(events.SourceFailed(CONFIG, error.step, error.message, now_s))
+            self._fail_read(error.step, error.message)
+            return
+        except Exception as error:
+            # Without an event the source would never be read again.
+            logger.exception("read failed")
+            self._fail_read("read", repr(error))
             return
-        document = None
-        if configuration is not None:
-            document = shell.proxy.make_document(configuration)
         now_s = shell.loop.time()
         shell.handle(events.SourceAnswered(CONFIG, version, document, now_s))
 
+    def _fail_read(self, step, reason):
+        shell = self._shell
+        shell.metrics.count("source_failures")
+        shell.handle(events.SourceFailed(CONFIG, step, reason, shell.loop.time()))
+
     # Other nodes
 
     def _ask(self, effect):
@@ -100,7 +112,7 @@
         shell = self._shell
         address = effect.address
         try:
-            response = await shell.peer_pool.fetch(
+            response = await self.pool.fetch(
                 address,
                 "POST",
                 NEWS_PATH,
@@ -116,6 +128,11 @@
         except ValueError:
             self._fail(address, "decode")
             return
+        except Exception:
+            # Without an event the node would never be asked again.
+            logger.exception("question failed")
+            self._fail(address, "ask")
+            return
         shell.handle(news.NewsReceived(address, answer, shell.loop.time()))
 
     def _fail(self, address, step):
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -174,7 +174,7 @@
 
     def drop_idle_connections(self):
         """Close kept connections, which may be silent or outdated."""
-        for pool in (self.peer_pool, self.target_pool):
+        for pool in (self.peer_pool, self.target_pool, self.follower.pool):
             pool.close()
 
     def stop(self):
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -24,6 +24,20 @@
         for news in (News(delta, False, 0.5, LINKS), News(None, True, None, ())):
             self.assertEqual(wire.decode_news(wire.encode_news(news)), news)
 
+    # Guards against numbers that end a node's following for good.
+    def test_numbers_out_of_bounds(self):
+        for wait, mbps in (
+            ("NaN", "1"),
+            ("1e999", "1"),
+            ("-1", "1"),
+            ("1", "NaN"),
+            ("1", "1e999"),
+            ("1", "-1"),
+        ):
+            body = f'{{"base": null, "wait_s": {wait}, "links": [["a", {mbps}]]}}'
+            with self.subTest(body), self.assertRaises(ValueError):
+                wire.decode_question(body.encode())
+
     def test_what_is_no_message(self):
         for body in (b"", b"{}", b"\xff", wire.encode_question(Question(None, 1, ()))):
             with self.subTest(body), self.assertRaises(ValueError):
