--- a/balsamdeal/core/following.py
+++ b/balsamdeal/core/following.py
@@ -84,25 +84,34 @@
         self.sources = Sources(random, 0, WATCH_WAIT_S, START_BACKOFF_S, NEWS_PAUSE_S)
         self._link_mbps = link_mbps
         self._apply = apply
+        self._random = random
+        # The failure domain: nodes, links in Mbit/s by node, who told of its own link.
         self._members = frozenset({own_node})
         self._links = {own_node: link_mbps or 0.0}
-        self._first_hand = {own_node}
         self._unknown_mbps = self._links[own_node]
+        self._first_hand = {own_node}
         self._ranking = [own_node]
-        self._passed_over = {}
-        self._failures = {}
+        # Nodes asked: pairs of time and question. Of the last answers: when a good one
+        # came, how many failed in a row, until when a node is passed over.
+        self._asked = {}
         self._good = {}
-        self._bad_answers = 0
-        self._next_try_s = 0.0
+        self._failures = {}
+        self._passed_over = {}
+        # Bad answers of anybody in a row slow down the asking of others in their place.
+        self._bad_answer_count = 0
+        self._next_spare_s = 0.0
+        self._next_retry_s = 0.0
         self._next_acquaint_s = 0.0
-        self._next_again_s = 0.0
-        self._lost_s = -math.inf
-        self._random = random
-        self._asked = {}
+        # When a node last told that it has lost the source.
+        self._told_lost_s = -math.inf
+        # Questions of others by exchange: pairs of base and the time of the answer.
         self._waiting = {}
+        # Set by an answer that there is a newer version without a difference to it,
+        # cleared by a whole read or a difference.
         self._is_behind = False
         self._next_behind_s = 0.0
         self._next_behind_ask_s = 0.0
+        # The version held when the read of the source under way began.
         self._read_from = NO_VERSION
 
     # Who asks whom
@@ -208,15 +217,15 @@
         """Ask, read and answer whatever is due."""
         now_s = event.now_s
         layer, parents = self._place(now_s)
-        is_watcher = not parents or self._is_left(now_s)
+        is_watcher = not parents or self._lacks_answers(now_s)
         result = self._read_source(is_watcher, now_s)
         result += self._ask_all(self._list_asked(now_s), now_s)
-        result += self._ask_again(now_s)
+        result += self._retry_failed(now_s)
         if not parents:
             result += self._acquaint(now_s)
         return result + self._end_waits(layer, now_s)
 
-    def _is_left(self, now_s):
+    def _lacks_answers(self, now_s):
         """Return whether nobody has given this node a good answer of late."""
         return not any(now_s < at_s + GOOD_ANSWER_S for at_s in self._good.values())
 
@@ -224,7 +233,7 @@
         """Ask those that are not being asked."""
         if not self._may_ask(now_s):
             return []
-        may_try = now_s >= self._next_try_s
+        may_try = now_s >= self._next_spare_s
         return [
             self._ask(address, now_s, self._choose_wait_s(now_s))
             for address in parents
@@ -254,15 +263,15 @@
         )
         return QUESTION_WAIT_S / 2 if is_close else QUESTION_WAIT_S
 
-    def _ask_again(self, now_s):
+    def _retry_failed(self, now_s):
         """Ask one of the nodes that failed; they are passed over until they answer."""
-        if now_s < self._next_again_s or not self._may_ask(now_s):
+        if now_s < self._next_retry_s or not self._may_ask(now_s):
             return []
         due = [item for item in self._failures if now_s >= self._passed_over[item]]
         due.sort(key=self._passed_over.get)
         if not due or due[0] in self._asked:
             return []
-        self._next_again_s = now_s + FAILURE_PAUSE_S
+        self._next_retry_s = now_s + FAILURE_PAUSE_S
         return [self._ask(due[0], now_s, 0.0)]
 
     def _acquaint(self, now_s):
@@ -309,12 +318,12 @@
         """Return the time since the source confirmed what is held, or None."""
         sources = self.sources
         age_s = sources.get_age_s(now_s)
-        if layer and not self._is_left(now_s):
+        if layer and not self._lacks_answers(now_s):
             return age_s
         is_failing = sources.is_failing(CONFIG)
         is_overdue = sources.is_overdue(CONFIG, OVERDUE_S, now_s)
-        # Whom nodes without the source have left does not know better before it reads.
-        is_lost = layer and age_s is not None and now_s - age_s < self._lost_s
+        # After word of a lost source this node knows no better before it has read.
+        is_lost = layer and age_s is not None and now_s - age_s < self._told_lost_s
         if is_failing or is_overdue or is_lost:
             return None  # others should not wait until it is old
         return age_s
@@ -386,12 +395,12 @@
         if is_early or _is_too_old(answer.source_age_s, max(0, layer - 1)):
             self._passed_over[address] = now_s + LOST_SOURCE_PAUSE_S
             if answer.source_age_s is None:
-                self._lost_s = now_s
+                self._told_lost_s = now_s
             self._note_bad_answer(address, now_s)
         else:
             self._passed_over.pop(address, None)
             self._good[address] = now_s
-            self._bad_answers = max(0, self._bad_answers - 1)
+            self._bad_answer_count = max(0, self._bad_answer_count - 1)
             self.sources.note_heard(now_s - answer.source_age_s)
         # Another node may have brought what this one was behind.
         if answer.is_behind and question.base == self.versions.version:
@@ -438,9 +447,9 @@
     def _note_bad_answer(self, address, now_s):
         """Take others for it, but not the whole domain at once."""
         self._good.pop(address, None)
-        self._bad_answers += 1
-        pause_s = TRY_PAUSE_S * max(0, self._bad_answers - FREE_TRIES)
-        self._next_try_s = now_s + min(pause_s, LOST_SOURCE_PAUSE_S / 2)
+        self._bad_answer_count += 1
+        pause_s = TRY_PAUSE_S * max(0, self._bad_answer_count - FREE_TRIES)
+        self._next_spare_s = now_s + min(pause_s, LOST_SOURCE_PAUSE_S / 2)
 
     def take_source_answer(self, event):
         """Put what the source has in force, if it is newer."""
