One watch call for targets and for the configuration

The two methods of the store's client built the same query, checked the same empty answer and parsed the same events. No change of behaviour: the tests of the client, of the feed and the storm of processes pass as before (23 passed).

--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -103,21 +103,11 @@
         return configuration
 
     async def _watch_configuration(self, after, wait_s):
-        query = {
-            "path-prefix": OPERATOR_PREFIX,
-            "after": self._revision,
-            "wait-ms": int(wait_s * 1000),
-        }
-        timeout_s = wait_s + WATCH_MARGIN_S + self._transfer_s
-        body = await self._get("kv-watch", query, timeout_s)
-        if body is None:
-            raise SourceError("no answer to a watch", "answer", self._address)
-        revision = self._get_revision(body)
-        items = [self._parse_item(item) for item in body.get("events", ())]
+        items, revision = await self._watch(
+            OPERATOR_PREFIX, self._revision, wait_s, self._transfer_s
+        )
         written = [
-            item
-            for item in items
-            if item is not None and item.key == CONFIGURATION_KEY and not item.deleted
+            item for item in items if item.key == CONFIGURATION_KEY and not item.deleted
         ]
         newest = max(written, key=lambda item: item.revision, default=None)
         configuration = self._take_item(newest, after)
@@ -174,20 +164,30 @@
         :param after: the revision.
         :param wait_s: how long the store may wait for a change, in seconds.
         """
+        items, revision = await self._watch(SERVERS_PREFIX, after, wait_s)
+        changes = []
+        for item in items:
+            target = None if item.deleted else self._decode_target(item)
+            changes.append((item.key, target, item.revision))
+        return TargetNews(None, changes, revision)
+
+    async def _watch(self, prefix, after, wait_s, transfer_s=0.0):
+        """Return the items written since a revision, and the revision after them.
+
+        :param transfer_s: how long the answer may take beyond the wait's margin.
+        """
         query = {
-            "path-prefix": SERVERS_PREFIX,
+            "path-prefix": prefix,
             "after": after,
             "wait-ms": int(wait_s * 1000),
         }
-        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
+        timeout_s = wait_s + WATCH_MARGIN_S + transfer_s
+        body = await self._get("kv-watch", query, timeout_s)
         if body is None:
             raise SourceError("no answer to a watch", "answer", self._address)
-        changes = []
-        for item in map(self._parse_item, body.get("events", ())):
-            if item is not None:
-                target = None if item.deleted else self._decode_target(item)
-                changes.append((item.key, target, item.revision))
-        return TargetNews(None, changes, self._get_revision(body))
+        revision = self._get_revision(body)
+        items = [self._parse_item(item) for item in body.get("events", ())]
+        return [item for item in items if item is not None], revision
 
     @property
     def _address(self):
