Log the limit and the leaving that a target names, and count its requests

The nodes' own logs and metrics could not tell the hypotheses of the incident apart: nothing said when a target named a limit, nor how many requests a node passed on to it, nor how many it declined. The headers are read, not obeyed.

--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -57,6 +57,23 @@
     load: NodeLoad | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TargetNotice:
+    """What a target says of itself in an answer.
+
+    ``has_limit`` is set if it names a limit, and ``requests_per_s`` is that limit for
+    the requests of all nodes together, or None if it is no valid number. ``leaving`` is
+    set if the target is about to exit.
+    """
+
+    has_limit: bool = False
+    requests_per_s: float | None = None
+    leaving: bool = False
+
+
+NO_NOTICE = TargetNotice()
+
+
 # Events at the node that received a caller's request
 
 
@@ -153,6 +170,7 @@
     misdirected: bool
     failed: bool
     now_s: float
+    notice: TargetNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -6,6 +6,7 @@
 
 from balsamdeal.core.request_events import (
     ANSWERED,
+    NO_NOTICE,
     NOT_RUN,
     UNKNOWN,
     CancelWork,
@@ -55,6 +56,7 @@
         self.last_answered_instance = None
         self.leaving_since_s = {}
         self.misdirected_at_s = {}
+        self.last_notice = NO_NOTICE
 
     def update_targets(self, now_s):
         """Update the slots and the leaving state of this node's target."""
@@ -216,6 +218,7 @@
             return []
         if not event.declined:
             self.last_answered_instance = item.event.instance
+        decisions = self._record_notice(item, event)
         if event.misdirected:
             self.misdirected_at_s[item.event.instance] = event.now_s
             reply = self._reply(
@@ -245,7 +248,23 @@
                 ran_s=event.now_s - item.started_s,
                 failed=event.failed,
             )
-        return [reply, *self._start_next(event.now_s)]
+        return [*decisions, reply, *self._start_next(event.now_s)]
+
+    def _record_notice(self, item, event):
+        """Record what the target says of itself; log it if that has changed."""
+        if event.notice == self.last_notice:
+            return []
+        known, self.last_notice = self.last_notice, event.notice
+        fields = {
+            "request": item.event.request_id,
+            "instance": item.event.instance,
+            "per_s": event.notice.requests_per_s,
+            "per_s_before": known.requests_per_s,
+            "leaving": event.notice.leaving,
+            "busy": len(self.queue.running),
+            "queued": len(self.queue.waiting),
+        }
+        return [LogDecision("target notice", fields)]
 
     def handle_failure(self, event):
         """Reply after a run without a usable answer.
--- a/balsamdeal/net/answer_checks.py
+++ b/balsamdeal/net/answer_checks.py
@@ -1,8 +1,15 @@
-"""Checks that a response comes from the target and belongs to the request."""
+"""Checks that a response comes from the target and belongs to the request.
 
+Also reads what the target says of itself in a response.
+"""
+
+import math
+
+from balsamdeal.core.request_events import NO_NOTICE, TargetNotice
 from balsamdeal.errors import ExchangeError
 
 MISDIRECTED = 421
+LEAVING = "1"
 
 
 def make_request_id_check(names, request_id):
@@ -38,3 +45,31 @@
         raise ExchangeError("successful answer without a seal", "seal", address, True)
     if 300 <= response.status < 400 or response.status < 200:
         raise ExchangeError(f"status {response.status}", "status", address, True)
+
+
+def read_notice(pairs, names):
+    """Return the ``TargetNotice`` in the headers of an answer.
+
+    :param pairs: pairs of header name and value.
+    :param names: the ``HeaderNames`` of the deployment.
+    """
+    limit_name, leaving_name = names.requests_per_s.lower(), names.leaving.lower()
+    limit, leaving = None, False
+    for name, value in pairs:
+        name = name.lower()
+        if name == limit_name:
+            limit = value
+        elif name == leaving_name:
+            leaving = value.strip() == LEAVING
+    if limit is None and not leaving:
+        return NO_NOTICE
+    return TargetNotice(limit is not None, _parse_rate(limit), leaving)
+
+
+def _parse_rate(text):
+    """Return a rate of zero or more, or None where the text is none."""
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
--- a/balsamdeal/net/messages.py
+++ b/balsamdeal/net/messages.py
@@ -59,7 +59,9 @@
     answer, ``time_left_ms`` is how long the caller still waits, ``instance`` is the
     only target that may run the request, ``caller_service`` is the service of the VM
     where it originated. Headers of answers: ``seal`` shows that the target itself
-    produced the answer, ``declined`` that it did not run the request.
+    produced the answer, ``declined`` that it did not run the request,
+    ``requests_per_s`` how many requests the target accepts, ``leaving`` that it is
+    about to exit.
     """
 
     request_id: str
@@ -68,6 +70,8 @@
     caller_service: str
     seal: str
     declined: str
+    requests_per_s: str
+    leaving: str
 
 
 def filter_headers(headers, dropped=HOP_BY_HOP_HEADERS):
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -23,6 +23,7 @@
     MISDIRECTED,
     check_answer,
     make_request_id_check,
+    read_notice,
 )
 from balsamdeal.net.connections import ConnectionPool, Exchange
 from balsamdeal.net.control import Control
@@ -407,6 +408,7 @@
     def _run_work(self, effect):
         work = self._work[effect.work_id]
         work.exchange = Exchange()
+        self.metrics.count("work_started")
         self.tasks.spawn(self._exchange_work(effect, work))
 
     async def _exchange_work(self, effect, work):
@@ -449,6 +451,8 @@
             filter_headers(response.headers, self._excluded_headers),
             response.body,
         )
+        if declined:
+            self.metrics.count("work_declined")
         self.handle(
             request_events.TargetReplied(
                 work_id,
@@ -456,6 +460,7 @@
                 misdirected,
                 status >= 500,
                 self.loop.time(),
+                read_notice(work.answer.headers, self.names),
             )
         )
 
--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -31,6 +31,8 @@
     caller_service="X-Caller-Service",
     seal="X-Server-Seal",
     declined="X-Not-Executed",
+    requests_per_s="Server-Limit",
+    leaving="Server-Leaving",
 )
 
 
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -15,7 +15,14 @@
 )
 
 NAMES = HeaderNames(
-    "Request-Id", "Left-Ms", "Instance", "Caller-Service", "Seal", "Declined"
+    "Request-Id",
+    "Left-Ms",
+    "Instance",
+    "Caller-Service",
+    "Seal",
+    "Declined",
+    "Limit",
+    "Leaving",
 )
 REQUEST_ID = "bb9f1edb31af8b5e"
 LOAD = NodeLoad(3, 0, 12, 0.095, 0.0, False)
@@ -109,7 +116,7 @@
 
     def test_malformed_message_is_refused(self):
         work = self.codec.encode_work(make_attempt(), "board", make_payload())
-        other_names = HeaderNames("A", "B", "C", "D", "E", "F")
+        other_names = HeaderNames(*"ABCDEFGH")
         other_format = (
             HEAD_PREFIX.pack((FORMAT_VERSION + 1) << 24) + work[HEAD_PREFIX.size :]
         )
--- a/tests/net/test_proxying.py
+++ b/tests/net/test_proxying.py
@@ -9,7 +9,9 @@
 from balsamdeal.net.proxying import ProxyShell
 from balsamdeal.proxysettings import ProxySettings
 
-NAMES = HeaderNames("Id", "Left-Ms", "Instance", "Service", "Seal", "Declined")
+NAMES = HeaderNames(
+    "Id", "Left-Ms", "Instance", "Service", "Seal", "Declined", "Limit", "Leaving"
+)
 
 
 def make_settings(**changes):
--- a/tools/policy.py
+++ b/tools/policy.py
@@ -31,7 +31,9 @@
 SETTLED_SHARE = 0.9
 SLOW_ONE_IN = 10
 SLOW_SPEED = 1 / 8
-NAMES = HeaderNames("Id", "Left-Ms", "Instance", "Service", "Seal", "Declined")
+NAMES = HeaderNames(
+    "Id", "Left-Ms", "Instance", "Service", "Seal", "Declined", "Limit", "Leaving"
+)
 
 
 class MeasuredFleet(QueueingFleet):
