--- a/standins/server.py
+++ b/standins/server.py
@@ -38,7 +38,9 @@
     Each request for this instance removes the first entry of ``pending_faults``, one
     of SERVER_FAULTS, and gets that fault. ``delay_s`` is the duration of a run in
     seconds. ``seen`` holds each request's line, headers and body. ``aborted_runs``
-    counts runs during which the node closed its connection.
+    counts runs during which the node closed its connection. ``arrivals`` holds the
+    event loop's time of each request, in seconds. ``notices`` are pairs of header name
+    and value that all answers carry.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -50,6 +52,8 @@
         self.pending_faults = []
         self.delay_s = 0.0
         self.aborted_runs = 0
+        self.notices = []
+        self.arrivals = []
         self.address = None
         self._server = None
         self._writers = set()
@@ -84,13 +88,15 @@
         headers = {name.lower(): value for name, value in pairs}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.seen.append((line, headers, body))
+        self.arrivals.append(asyncio.get_running_loop().time())
         request_id = headers.get("x-request-id", "")
         if headers.get("x-expected-instance") != self.instance:
             self._write(writer, 421, [("X-Instance-Id", self.instance)], b"")
             return True
         fault = self.pending_faults.pop(0) if self.pending_faults else None
         if fault == "decline":
-            self._write(writer, 503, [("X-Not-Executed", "1")], b"")
+            headers = [("X-Not-Executed", "1"), *self.notices]
+            self._write(writer, 503, headers, b"")
             return True
         self.runs[request_id] += 1
         if not await self._simulate_run(reader):
@@ -116,6 +122,7 @@
         answer_headers = [
             ("X-Request-Id", request_id),
             ("X-Server-Seal", f"seal-{request_id}"),
+            *self.notices,
         ]
         body = f"{self.instance} ran {line.split()[1]}".encode()
         if fault == "silent":
