Keep the limit of requests that a target names, at the node in front of it

Callers saw nothing; the target got 341 requests in 4 s after it had named a limit of 21.7 a second, 135 allowed.

Cause: nobody read the header. Slots bound the runs at a time; nothing bounded the requests a second. A class of fault: what targets say in answers was passed on to callers and not obeyed. Ruled out: a target in need that attracts work, and requests sent again: it turned none away, and arrivals did not change when it named the limit.

All requests for a target pass through the node in front of it, so the limit is kept there, for any number of senders. Work beyond it waits as long as it can be in time, else it is refused at once and goes elsewhere; the load in replies tells senders that there is no room. The first span that operators check begins before the limit was named, so what was sent then counts and the target may get nothing for a moment. A node that has just restarted learns the limit, and how long it has been named, from a header of the work that others send.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -100,6 +100,7 @@
         self.refuse_all = False
         self.stop = None
         self.own_node = placement.own_node
+        self.targets = placement.targets
         self.calls = {}
         self.attempts = {}
         self.budgets = {}
@@ -197,6 +198,7 @@
                 max(0.0, call.deadline_s - now_s),
                 call.objective_at_s - now_s,
                 call.route.objective_s,
+                self.targets.notices.report_limit(target.identity, now_s),
             )
         ]
 
@@ -232,6 +234,7 @@
         if not reply.target_unavailable:
             self._record_refusal_share(call.service, reply.outcome == NOT_RUN)
         if reply.outcome == ANSWERED:
+            self.targets.notices.record(target.identity, event.notice, now_s)
             return self._handle_answer(call, target, event, now_s)
         result = []
         if reply.target_reached:
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -271,9 +271,13 @@
         load = view.load
         if load is None:
             return max(view.sent_since_load, view.in_flight), target.slots
-        age = (now_s - view.load_s) / REPORT_HALF_LIFE_S
-        occupancy = (load.busy + load.queued) * math.exp2(-age)
-        return max(occupancy + view.sent_since_load, view.in_flight), max(1, load.limit)
+        age_s = now_s - view.load_s
+        limit = max(1, load.limit)
+        if age_s > PROBE_AFTER_S and not view.in_flight:
+            # Only an answer tells when a target's limit of requests has ended.
+            limit = max(limit, target.slots)
+        occupancy = (load.busy + load.queued) * math.exp2(-age_s / REPORT_HALF_LIFE_S)
+        return max(occupancy + view.sent_since_load, view.in_flight), limit
 
     def _has_room(self, target, now_s):
         """Return whether a target can run more work without queueing."""
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -31,15 +31,25 @@
     :param seed: the seed of all random choices.
     :param repeat_share: retries that operators allow per request.
     :param link_mbps: the VM's own link in Mbit/s, or None if it is not known.
+    :param limit_settle_s: how long after a target has first named a limit of requests
+        operators expect it to hold.
     """
 
-    def __init__(self, own_node, own_domain, seed, repeat_share=0.2, link_mbps=None):
+    def __init__(
+        self,
+        own_node,
+        own_domain,
+        seed,
+        repeat_share=0.2,
+        link_mbps=None,
+        limit_settle_s=target_work.LIMIT_SETTLE_S,
+    ):
         random = Random(seed)
         self._own_domain = own_domain
         self.targets = TargetList()
         self.placement = Placement(self.targets, own_domain, own_node, random)
         self.calls = Calls(self.placement, random, repeat_share)
-        self.target_work = TargetWork(self.targets, own_node)
+        self.target_work = TargetWork(self.targets, own_node, limit_settle_s)
         self.replication = ConfigReplication(
             own_node, link_mbps, Random(seed + 1), self._apply_document
         )
@@ -66,6 +76,7 @@
         self._timer_handlers = {
             calls.CALL_TIMER: self.calls.handle_timeout,
             target_work.WORK_TIMER: self.target_work.handle_timeout,
+            target_work.START_TIMER: self.target_work.handle_start_timer,
         }
 
     @classmethod
@@ -80,6 +91,7 @@
             settings.seed,
             settings.repeat_share,
             settings.link_mbps,
+            settings.limit_settle_s,
         )
 
     def reduce(self, event):
@@ -136,6 +148,7 @@
     def update_targets(self, now_s):
         """Update all that depends on the list of targets after it has changed."""
         self.placement.drop_unlisted()
+        self.targets.drop_unlisted_notices(now_s)
         self.target_work.update_targets(now_s)
         members = frozenset(
             target.node_address
--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -74,6 +74,18 @@
 NO_NOTICE = TargetNotice()
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """The limit that a target has named in answers to the node that reports it.
+
+    ``per_s`` is the limit in requests per second, ``age_s`` the time in seconds since
+    that node has first received it.
+    """
+
+    per_s: float
+    age_s: float
+
+
 # Events at the node that received a caller's request
 
 
@@ -104,6 +116,7 @@
     attempt_id: int
     reply: WorkReply
     now_s: float
+    notice: TargetNotice = NO_NOTICE
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +147,8 @@
 
     ``time_left_s`` is the time until its deadline. ``objective_left_s`` is the time
     left to meet its latency objective, negative if that has passed. ``objective_s`` is
-    the whole latency objective of its route.
+    the whole latency objective of its route. ``limit_report`` is what the sender knows
+    of the target's limit, or None.
     """
 
     work_id: int
@@ -147,6 +161,7 @@
     objective_left_s: float
     objective_s: float
     now_s: float
+    limit_report: LimitReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,7 +233,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Sends a call to the node in front of a target; ``local`` if that is this node."""
+    """Sends a call to the node in front of a target; ``local`` if that is this node.
+
+    ``limit_report`` is the limit that the target has named to this node, or None.
+    """
 
     attempt_id: int
     call_id: int
@@ -231,6 +249,7 @@
     time_left_s: float
     objective_left_s: float
     objective_s: float
+    limit_report: LimitReport | None = None
 
 
 def make_work(effect, work_id, request_id, now_s):
@@ -249,6 +268,7 @@
         effect.objective_left_s,
         effect.objective_s,
         now_s,
+        effect.limit_report,
     )
 
 
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -4,9 +4,9 @@
 target, or if the target itself reports that it ran nothing.
 """
 
+from balsamdeal.core.rate_limit import RateLimit
 from balsamdeal.core.request_events import (
     ANSWERED,
-    NO_NOTICE,
     NOT_RUN,
     UNKNOWN,
     CancelWork,
@@ -20,6 +20,8 @@
 from balsamdeal.core.work_queue import WorkQueue
 
 WORK_TIMER = "work"
+# Fires when the rate limit allows the next start of waiting work.
+START_TIMER = "start"
 # Grace period between the deadline of a run and its cancellation.
 TIMEOUT_SLACK_S = 0.02
 # Concurrent runs while the target list has no entry for this node's target.
@@ -35,6 +37,9 @@
 # State of targets that are no longer listed is kept for this long. Nodes with an old
 # list stop sending work for them much sooner.
 ABSENT_TARGET_TTL_S = 120.0
+# Operators expect a limit to hold this long after a target has first named it, where
+# their settings do not say otherwise.
+LIMIT_SETTLE_S = 3.0
 # Retry delay for work that the target declined, or that got no answer from it.
 TARGET_ERROR_RETRY_S = 0.3
 
@@ -44,19 +49,21 @@
 
     :param targets: the ``TargetList``.
     :param own_node: the address of this node as other nodes reach it.
+    :param limit_settle_s: how long after a target has first named a limit of requests
+        operators expect it to hold.
     """
 
-    def __init__(self, targets, own_node):
+    def __init__(self, targets, own_node, limit_settle_s=LIMIT_SETTLE_S):
         self.targets = targets
         self.own_node = own_node
-        self.queue = WorkQueue(DEFAULT_SLOTS)
+        self.rate_limit = RateLimit(limit_settle_s)
+        self.queue = WorkQueue(DEFAULT_SLOTS, self.rate_limit)
         self.stop = None
         self.refuse_all = False
         self.listed_instances = set()
         self.last_answered_instance = None
         self.leaving_since_s = {}
         self.misdirected_at_s = {}
-        self.last_notice = NO_NOTICE
 
     def update_targets(self, now_s):
         """Update the slots and the leaving state of this node's target."""
@@ -103,15 +110,21 @@
             return "another server has the address"
         return None
 
+    def _get_identity(self, instance):
+        """Return the identity of a target as it is listed now."""
+        target = self.targets.targets.get(instance)
+        return target.identity if target else (instance, None)
+
     def make_load(self, now_s):
         """Return the current ``NodeLoad``, which is part of each reply."""
         queue = self.queue
+        work_s = queue.estimate_work_s(now_s)
         return NodeLoad(
             len(queue.running),
-            len(queue.waiting),
-            queue.limit,
-            queue.estimate_work_s(now_s),
-            queue.estimate_wait_s(len(queue.waiting)),
+            len(queue.waiting) + round(self.rate_limit.count_due(now_s)),
+            self.rate_limit.limit_runs(queue.limit, queue.get_mean_work_s()),
+            work_s,
+            queue.estimate_wait_s(len(queue.waiting), now_s),
             self.stop is not None and self.stop.is_near(now_s),
         )
 
@@ -131,18 +144,31 @@
             return self._refuse(
                 event, event.now_s, reason, 0.0, target_unavailable=True
             )
+        if event.limit_report is not None:
+            self.rate_limit.record_report(event.limit_report, event.now_s)
         item, wait_s = self.queue.admit(event)
         if item is None:
             return self._refuse(
                 event, event.now_s, "queue would outlast its time", wait_s
             )
         if event.work_id in self.queue.waiting:
-            return [SetTimer(WORK_TIMER, event.work_id, item.queue_deadline_s)]
+            timer = SetTimer(WORK_TIMER, event.work_id, item.queue_deadline_s)
+            return [timer, *self._set_start_timer(event.now_s)]
         return self._start(item, event.now_s)
 
+    def _set_start_timer(self, now_s):
+        """Return the timer for waiting work that the rate limit holds back, if any."""
+        at_s = self.queue.find_next_start_s(now_s)
+        return [] if at_s is None else [SetTimer(START_TIMER, 0, at_s)]
+
+    def handle_start_timer(self, event):
+        """Start waiting work that the rate limit has held back."""
+        return self._start_next(event.now_s)
+
     def _start(self, item, now_s):
         self.queue.start(item, now_s)
         event = item.event
+        item.identity = self._get_identity(event.instance)
         end_s = item.deadline_s + TIMEOUT_SLACK_S
         return [
             SetTimer(WORK_TIMER, event.work_id, end_s),
@@ -194,7 +220,7 @@
                     other.event, now_s, "its time is nearly over", 0.0
                 )
             if item is None:
-                return result
+                return result + self._set_start_timer(now_s)
             reason = self._find_unusable_reason(item.event.instance, now_s)
             if reason is not None:
                 result += self._refuse(
@@ -252,15 +278,21 @@
 
     def _record_notice(self, item, event):
         """Record what the target says of itself; log it if that has changed."""
-        if event.notice == self.last_notice:
+        notice = event.notice
+        known_per_s = self.rate_limit.per_s
+        # Whichever server holds the address, its limit counts all that it gets there.
+        changed = self.rate_limit.record_answer(notice, not event.declined, event.now_s)
+        if not event.misdirected:
+            changed |= self.targets.notices.record(item.identity, notice, event.now_s)
+        if not changed:
             return []
-        known, self.last_notice = self.last_notice, event.notice
         fields = {
             "request": item.event.request_id,
             "instance": item.event.instance,
-            "per_s": event.notice.requests_per_s,
-            "per_s_before": known.requests_per_s,
-            "leaving": event.notice.leaving,
+            "limit_per_s": self.rate_limit.per_s,
+            "limit_before": known_per_s,
+            "next_start_ms": round(self.rate_limit.get_delay_s(event.now_s) * 1000),
+            "leaving": notice.leaving,
             "busy": len(self.queue.running),
             "queued": len(self.queue.waiting),
         }
--- a/balsamdeal/core/targets.py
+++ b/balsamdeal/core/targets.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, replace
 
+from balsamdeal.core.notices import NoticeTable
+
 # How long a target may be missing after an outage of the source: running targets are
 # listed again within two seconds of its end.
 RELIST_GRACE_S = 2.2
@@ -44,6 +46,7 @@
     which entries were removed, so that stale data does not restore them. ``missing``
     holds, for entries that are missing after an outage, the time at which they are
     dropped. ``changed_s`` is the loop's time of the last change, in seconds.
+    ``notices`` holds what targets have said of themselves in answers.
     """
 
     def __init__(self):
@@ -53,6 +56,7 @@
         self.missing = {}
         self.revision = 0
         self.changed_s = None
+        self.notices = NoticeTable()
 
     def apply_listing(self, entries, revision, after_outage, now_s):
         """Apply a full list.
@@ -142,3 +146,8 @@
     def list_service(self, service):
         """Return the targets of a service, those that are leaving included."""
         return self.services.get(service, [])
+
+    def drop_unlisted_notices(self, now_s):
+        """Drop the notices of targets that have been unlisted for long."""
+        listed = {target.identity for target in self.targets.values()}
+        self.notices.drop_unlisted(listed, now_s)
--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -10,6 +10,8 @@
 import math
 from dataclasses import dataclass, field
 
+from balsamdeal.core.rate_limit import RateLimit
+
 # Queued work is refused instead of started if its remaining time is below this share
 # of a mean run.
 MIN_TIME_LEFT_SHARE = 0.5
@@ -52,8 +54,8 @@
     """Work at a target's node; times are the loop's, in seconds.
 
     ``event`` is the ``WorkReceived``, ``order`` the sort key in the queue. If the work
-    still waits at ``queue_deadline_s``, it is refused. ``started_s`` is None while it
-    waits.
+    still waits at ``queue_deadline_s``, it is refused. ``started_s`` and ``identity``,
+    that of the target, are None while it waits.
     """
 
     event: object
@@ -61,6 +63,7 @@
     deadline_s: float
     queue_deadline_s: float
     started_s: float | None = None
+    identity: tuple | None = None
 
 
 def _get_class_key(event):
@@ -78,9 +81,11 @@
     loop's time in seconds, that found no work waiting.
 
     :param limit: the number of concurrent runs.
+    :param rate_limit: the ``RateLimit`` of starts.
     """
 
     limit: int
+    rate_limit: RateLimit
     running: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
     work_s: float = 0.0
@@ -105,11 +110,24 @@
         age_s = now_s - self._started_sum_s / len(self.running)
         return max(self.get_mean_work_s(), age_s)
 
-    def estimate_wait_s(self, ahead):
+    def estimate_wait_s(self, ahead, now_s):
         """Return the expected wait in seconds of work behind ``ahead`` others."""
+        wait_s = self.rate_limit.get_delay_s(now_s, ahead)
         if len(self.running) + ahead < self.limit:
-            return 0.0
-        return (ahead + 1) * self.get_mean_work_s() / max(1, self.limit)
+            return wait_s
+        return max(wait_s, (ahead + 1) * self.get_mean_work_s() / max(1, self.limit))
+
+    def can_start(self, now_s):
+        """Return whether a slot is free and the rate limit allows a start."""
+        if len(self.running) >= self.limit:
+            return False
+        return self.rate_limit.get_delay_s(now_s) <= 0
+
+    def find_next_start_s(self, now_s):
+        """Return when waiting work may start, or None if it waits for a slot."""
+        if not self.waiting or len(self.running) >= self.limit:
+            return None
+        return now_s + self.rate_limit.get_delay_s(now_s)
 
     def admit(self, event):
         """Decide whether work starts now, waits or is refused.
@@ -124,10 +142,10 @@
         item = WorkItem(event, self._make_order(event), deadline_s, deadline_s)
         if not self.waiting:
             self.last_empty_s = event.now_s
-            if len(self.running) < self.limit:
+            if self.can_start(event.now_s):
                 return item, 0.0
         ahead = sum(other.order <= item.order for other in self.waiting.values())
-        wait_s = self.estimate_wait_s(ahead)
+        wait_s = self.estimate_wait_s(ahead, event.now_s)
         max_wait_s = self._get_max_wait_s(event)
         if wait_s > max_wait_s:
             return None, self.suggest_retry_after_s(event)
@@ -181,13 +199,15 @@
         first_attempt = spent_s < FIRST_ATTEMPT_SHARE * event.objective_s
         if not first_attempt or self._is_standing(event.now_s):
             return LATE_RETRY_AFTER_S
-        wait_s = self.estimate_wait_s(len(self.waiting)) + self.get_mean_work_s() / 2
+        wait_s = self.estimate_wait_s(len(self.waiting), event.now_s)
+        wait_s += self.get_mean_work_s() / 2
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
     def start(self, item, now_s):
         """Record the start of a run."""
         item.started_s = now_s
         self.running[item.event.work_id] = item
+        self.rate_limit.record_start(now_s)
         self._started_sum_s += now_s
 
     def finish(self, work_id, now_s, measured):
@@ -220,7 +240,7 @@
             ones, which the caller refuses.
         """
         expiring = []
-        while self._heap and len(self.running) < self.limit:
+        while self._heap and self.can_start(now_s):
             _, _, work_id = heapq.heappop(self._heap)
             item = self.waiting.pop(work_id, None)
             if item is None:
--- a/balsamdeal/net/answer_checks.py
+++ b/balsamdeal/net/answer_checks.py
@@ -63,11 +63,11 @@
             leaving = value.strip() == LEAVING
     if limit is None and not leaving:
         return NO_NOTICE
-    return TargetNotice(limit is not None, _parse_rate(limit), leaving)
+    return TargetNotice(limit is not None, parse_rate(limit), leaving)
 
 
-def _parse_rate(text):
-    """Return a rate of zero or more, or None where the text is none."""
+def parse_rate(text):
+    """Return a rate of zero or more, or None where the text is missing or no rate."""
     try:
         value = float(text)
     except (TypeError, ValueError):
--- a/balsamdeal/net/node_codec.py
+++ b/balsamdeal/net/node_codec.py
@@ -10,17 +10,25 @@
 import struct
 import zlib
 
+from tornado.httputil import HTTPHeaders
+
 from balsamdeal.core.request_events import (
     ANSWERED,
     NOT_RUN,
     UNKNOWN,
+    LimitReport,
     NodeLoad,
     WorkReceived,
     WorkReply,
 )
 from balsamdeal.errors import ExchangeError
+from balsamdeal.net.answer_checks import parse_rate
 from balsamdeal.net.messages import Answer, Payload
 
+# Header of work that carries a ``LimitReport``: the requests per second and the age in
+# seconds. It is none of the head's fields, whose number is fixed, so that nodes of an
+# earlier release skip it.
+LIMIT_HEADER = "Target-Limit"
 # Nodes address each other by IP and port, but HTTP/1.1 requires a Host header.
 PLACEHOLDER_HOST = "n"
 OUTCOMES = (ANSWERED, NOT_RUN, UNKNOWN)
@@ -44,6 +52,27 @@
 )
 
 
+def make_work_headers(effect):
+    """Return the HTTP headers of the message that carries an attempt.
+
+    :param effect: the ``SendAttempt``.
+    """
+    headers = HTTPHeaders({"Host": PLACEHOLDER_HOST})
+    report = effect.limit_report
+    if report is not None:
+        headers[LIMIT_HEADER] = f"{report.per_s:g} {report.age_s:.3f}"
+    return headers
+
+
+def _decode_limit_report(http_headers):
+    """Return the ``LimitReport``, or None where the header is missing or malformed."""
+    words = http_headers.get(LIMIT_HEADER, "").split()
+    values = [parse_rate(word) for word in words]
+    if len(values) != 2 or None in values:
+        return None
+    return LimitReport(*values)
+
+
 def _encode_json(values):
     return json.dumps(values, separators=(",", ":")).encode()
 
@@ -115,10 +144,11 @@
         ]
         return self._encode(head, payload.body)
 
-    def decode_work(self, message, work_id, now_s):
+    def decode_work(self, message, work_id, now_s, http_headers):
         """Return ``WorkReceived``, the caller's service and the ``Payload``.
 
         :param work_id: the id that this node gives to the work.
+        :param http_headers: the HTTP headers of the message.
         :param now_s: the event loop's time in seconds.
         :raises ExchangeError: when the message is not valid work.
         """
@@ -149,6 +179,7 @@
                 objective_left_ms / 1000,
                 objective_ms / 1000,
                 now_s,
+                _decode_limit_report(http_headers),
             )
         except (ValueError, TypeError, struct.error, zlib.error) as error:
             raise ExchangeError(
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -36,7 +36,7 @@
     make_headers,
     write_response,
 )
-from balsamdeal.net.node_codec import PLACEHOLDER_HOST, NodeCodec
+from balsamdeal.net.node_codec import NodeCodec, make_work_headers
 from balsamdeal.net.request_reader import KeepaliveServer, RequestServer
 from balsamdeal.net.tasks import Tasks
 
@@ -329,7 +329,7 @@
                 effect.node_address,
                 "POST",
                 "/",
-                HTTPHeaders({"Host": PLACEHOLDER_HOST}),
+                make_work_headers(effect),
                 message,
                 timeout_s=effect.time_left_s + REPLY_SLACK_S,
                 non_idempotent=not effect.idempotent,
@@ -351,8 +351,14 @@
         self._attempts.pop(effect.attempt_id, None)
         if answer is not None:
             self._store_answer(effect.call_id, effect.attempt_id, answer)
+        self._handle_reply(effect.attempt_id, reply, answer)
+
+    def _handle_reply(self, attempt_id, reply, answer):
+        notice = request_events.NO_NOTICE
+        if answer is not None:
+            notice = read_notice(answer.headers, self.names)
         now_s = self.loop.time()
-        self.handle(request_events.AttemptReplied(effect.attempt_id, reply, now_s))
+        self.handle(request_events.AttemptReplied(attempt_id, reply, now_s, notice))
 
     def _store_answer(self, call_id, attempt_id, answer):
         if call_id not in self._calls:
@@ -375,14 +381,14 @@
         if start_line.path == POLL_PATH:
             self.replicator.receive_poll(connection, body)
         else:
-            self._receive_work(connection, start_line, body)
+            self._receive_work(connection, headers, body)
 
-    def _receive_work(self, connection, start_line, body):
+    def _receive_work(self, connection, headers, body):
         now_s = self.loop.time()
         work_id = self.next_id()
         try:
             event, caller_service, payload = self.codec.decode_work(
-                body, work_id, now_s
+                body, work_id, now_s, headers
             )
         except ExchangeError as error:
             self.refuse_message(connection, "malformed work", error)
@@ -489,14 +495,11 @@
         attempt_id = work.attempt_id
         self._attempts.pop(attempt_id, None)
         call = self.proxy.calls.attempts.get(attempt_id)
-        if call is not None and reply.outcome == request_events.ANSWERED:
-            self._store_answer(call.event.call_id, attempt_id, work.answer)
+        answer = work.answer if reply.outcome == request_events.ANSWERED else None
+        if call is not None and answer is not None:
+            self._store_answer(call.event.call_id, attempt_id, answer)
         # The reply may come while the event that sent the attempt is being reduced.
-        self.loop.call_soon(
-            lambda: self.handle(
-                request_events.AttemptReplied(attempt_id, reply, self.loop.time())
-            )
-        )
+        self.loop.call_soon(self._handle_reply, attempt_id, reply, answer)
 
 
 def _parse_milliseconds(text):
--- a/balsamdeal/platform/settings.py
+++ b/balsamdeal/platform/settings.py
@@ -27,10 +27,13 @@
 
     ``grace_s`` is the time in seconds from a request to stop until the process is
     killed, ``retry_budget_ratio`` the number of retries allowed per request.
+    ``stable_window_s`` is the time within which a target's limit of requests has to
+    hold.
     """
 
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
+    stable_window_s: float = 3.0
 
 
 class VmLimitsMessage(Message):
@@ -96,6 +99,7 @@
             repeat_share=message.bounds.retry_budget_ratio,
             seed=seed,
             link_mbps=message.limits.link_mbps,
+            limit_settle_s=message.bounds.stable_window_s,
         )
 
     return read
--- a/balsamdeal/proxysettings.py
+++ b/balsamdeal/proxysettings.py
@@ -15,7 +15,8 @@
     the time between a stop request and a kill. ``repeat_share`` is the number of
     retries per request that operators allow, on average over all nodes. ``seed`` is
     the seed of random choices. ``link_mbps`` is the bandwidth of the VM's link in
-    Mbit/s, or None if the platform does not specify it.
+    Mbit/s, or None if the platform does not specify it. ``limit_settle_s`` is the time
+    within which a limit of requests that a target names has to hold.
     """
 
     vm: str
@@ -32,3 +33,4 @@
     repeat_share: float
     seed: int
     link_mbps: float | None = None
+    limit_settle_s: float = 3.0
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -51,7 +51,8 @@
     """A target.
 
     A ``speed`` below 1 makes it slower. If ``broken``, it answers with failures; if
-    ``down``, its node cannot be reached.
+    ``down``, its node cannot be reached. All answers carry ``notice``. ``starts`` holds
+    the time of each run, and its request's node.
     """
 
     node: str
@@ -62,6 +63,8 @@
     running: dict = field(default_factory=dict)
     max_running: int = 0
     runs: int = 0
+    notice: object = request_events.NO_NOTICE
+    starts: list = field(default_factory=list)
 
 
 class QueueingFleet:
@@ -79,6 +82,8 @@
         self.decisions = []
         self.attempts = 0
         self.crossings = 0
+        # When a node first passed on an answer with a notice, by (node, target's node).
+        self.told_at_s = {}
         self._heap = []
         self._order = itertools.count()
         self._ids = itertools.count(1)
@@ -88,7 +93,7 @@
         self.nodes = {}
         self.domains = {}
         self.targets = {}
-        entries = []
+        self.entries = entries = []
         for index, (domain, service, slots, speed) in enumerate(layout):
             name = f"t{index}"
             address = f"node-{name}"
@@ -105,9 +110,7 @@
             self.nodes[address] = Proxy(address, domain, seed * 1000 + index)
         self.configuration = make_configuration(1, *routes)
         for proxy in self.nodes.values():
-            proxy.apply_configuration(self.configuration)
-            proxy.targets.apply_listing(entries, 1, False, 0.0)
-            proxy.update_targets(0.0)
+            self._prepare(proxy)
         self._effect_handlers = {
             request_events.SetTimer: self._set_timer,
             request_events.SendAttempt: self._send,
@@ -125,6 +128,37 @@
             request_events.LogDecision: lambda node, e: self.decisions.append(e),
         }
 
+    def _prepare(self, proxy):
+        """Give a node the configuration and the list of targets."""
+        proxy.apply_configuration(self.configuration)
+        proxy.targets.apply_listing(self.entries, 1, False, self.now_s)
+        proxy.update_targets(self.now_s)
+
+    def restart(self, node):
+        """Replace a node by a new process; its calls and its work are lost."""
+        for work_id, (origin, other, attempt_id, call_id) in list(self._work.items()):
+            if other == node:
+                del self._work[work_id]
+                self._clear_timer("work", work_id)
+                self.targets[node].running.pop(work_id, None)
+                if origin != node:
+                    failure = request_events.AttemptFailed(
+                        attempt_id, True, "read", self.now_s
+                    )
+                    self.handle(origin, failure)
+            elif origin == node:
+                del self._work[work_id]
+                event = request_events.WorkAbandoned(work_id, self.now_s)
+                self.handle(other, event)
+        for call_id, request in list(self._calls.items()):
+            if request.load.node == node:
+                self._finish(call_id, 502, None)
+        self._clear_timer("start", node)
+        for pair in [pair for pair in self.told_at_s if pair[0] == node]:
+            del self.told_at_s[pair]
+        self.nodes[node] = proxy = Proxy(node, self.domains[node], next(self._ids))
+        self._prepare(proxy)
+
     def at(self, at_s, action, *arguments):
         """Schedule an action at a simulated time."""
         heapq.heappush(self._heap, (at_s, next(self._order), action, arguments))
@@ -232,11 +266,17 @@
         origin, _, attempt_id, _ = self._work.pop(effect.work_id, (None,) * 4)
         if origin is not None:
             at_s = self.now_s + self._delay_s(origin, node)
-            self.at(at_s, self._handle_reply, origin, attempt_id, effect.reply)
-
-    def _handle_reply(self, origin, attempt_id, reply):
+            notice = request_events.NO_NOTICE
+            if effect.reply.outcome == request_events.ANSWERED:
+                notice = self.targets[node].notice
+                if notice.has_limit or notice.leaving:
+                    self.told_at_s.setdefault((origin, node), at_s)
+            self.at(at_s, self._handle_reply, origin, attempt_id, effect.reply, notice)
+
+    def _handle_reply(self, origin, attempt_id, reply, notice):
         self.handle(
-            origin, request_events.AttemptReplied(attempt_id, reply, self.now_s)
+            origin,
+            request_events.AttemptReplied(attempt_id, reply, self.now_s, notice),
         )
 
     # Targets
@@ -250,6 +290,7 @@
             length_s *= 3
         target.running[effect.work_id] = True
         target.runs += 1
+        target.starts.append((self.now_s, self._work[effect.work_id][0]))
         target.max_running = max(target.max_running, len(target.running))
         if target.broken:
             length_s = 0.001
@@ -259,7 +300,7 @@
         target = self.targets[node]
         if target.running.pop(work_id, None):
             event = request_events.TargetReplied(
-                work_id, False, False, target.broken, self.now_s
+                work_id, False, False, target.broken, self.now_s, target.notice
             )
             self.handle(node, event)
 
@@ -270,7 +311,8 @@
     # Timers
 
     def _set_timer(self, node, effect):
-        key = (effect.kind, effect.subject)
+        # A subject of 0 is the node itself.
+        key = (effect.kind, effect.subject or node)
         self._timers[key] = effect.at_s
         self.at(effect.at_s, self._fire_timer, node, key)
 
@@ -280,7 +322,9 @@
     def _fire_timer(self, node, key):
         if self._timers.get(key) == self.now_s:
             del self._timers[key]
-            self.handle(node, request_events.TimerFired(*key, self.now_s))
+            kind, subject = key
+            subject = 0 if subject == node else subject
+            self.handle(node, request_events.TimerFired(kind, subject, self.now_s))
 
     # Results
 
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -143,6 +143,18 @@
         attempt = self.send(time_left_s=3.0, call_id=100)
         self.assertAlmostEqual(attempt.objective_left_s, 0.5)
 
+    # Guards against a notice that is passed on to the caller but not obeyed.
+    def test_next_attempts_follow_the_notice_of_an_answer(self):
+        for instance in ("b", "c"):
+            self.targets.apply_changes([(instance, None, 2)], 2, 0.0)
+        attempt = self.send()
+        self.assertIsNone(attempt.limit_report)
+        notice = request_events.TargetNotice(True, 4.0)
+        event = request_events.AttemptReplied(attempt.attempt_id, ANSWERED, 0.1, notice)
+        self.calls.handle_reply(event)
+        report = self.send(call_id=2, now_s=0.6).limit_report
+        self.assertEqual(report, request_events.LimitReport(4.0, 0.5))
+
     def test_refused_work_goes_to_another_target_even_if_not_idempotent(self):
         first = self.send("/once/1")
         second = self.filter_effects(
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -71,6 +71,15 @@
         tried = [self.targets.targets["n1"].identity]
         self.assertLessEqual(self.choose_repeatedly(excluded=tried), {"f0", "f1"})
 
+    # Guards against a target that is never asked again after its limit has ended.
+    def test_target_with_a_limit_is_probed_once_its_report_is_old(self):
+        load = NodeLoad(1, 0, 1, 0.1, 0.0, False)
+        self.placement.record_load(self.targets.targets["n0"], load, 0.0)
+        self.report("n1", 6)
+        self.assertNotIn("n0", self.choose_repeatedly())
+        self.report("n1", 6, now_s=PROBE_AFTER_S + 0.1)
+        self.assertIn("n0", self.choose_repeatedly(now_s=PROBE_AFTER_S + 0.1))
+
     def test_unreachable_target_is_excluded_for_a_while(self):
         self.placement.record_unreachable(self.targets.targets["n0"], 0.0)
         self.assertEqual(self.choose_repeatedly(), {"n1"})
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -3,7 +3,8 @@
 import unittest
 
 from balsamdeal.core import request_events
-from balsamdeal.core.target_work import LEAVING_GRACE_S, TargetWork
+from balsamdeal.core.request_events import TargetNotice
+from balsamdeal.core.target_work import LEAVING_GRACE_S, START_TIMER, TargetWork
 from balsamdeal.core.targets import TargetList
 from tests.core.test_targets import make_target
 
@@ -197,6 +198,30 @@
         effects = self.receive(1, 10.0 + LEAVING_GRACE_S + 0.1)
         self.assertEqual(self.get_outcomes(effects), [(1, request_events.NOT_RUN)])
 
+    # Guards against more starts than the limit that the target names.
+    def test_work_beyond_the_limit_waits_and_starts_in_turn(self):
+        self.receive(1)
+        self.end(1, 0.1, notice=TargetNotice(True, 10.0))
+        self.receive(2, 0.1)
+        for work_id in (3, 4, 5):
+            effects = self.receive(work_id, 0.11)
+            self.end(work_id - 1, 0.12, notice=TargetNotice(True, 10.0))
+        timer = self.filter_effects(effects, request_events.SetTimer)[-1]
+        self.assertEqual((timer.kind, timer.subject), (START_TIMER, 0))
+        self.assertEqual(self.get_started_ids(effects), [])
+        event = request_events.TimerFired(START_TIMER, 0, timer.at_s)
+        effects = self.target_work.handle_start_timer(event)
+        self.assertEqual(len(self.get_started_ids(effects)), 1)
+
+    def test_load_reports_fewer_runs_under_a_limit(self):
+        self.receive(1)
+        self.end(1, 0.1, notice=TargetNotice(True, 1.0))
+        self.receive(2, 0.1)
+        load = self.target_work.make_load(0.1)
+        self.assertEqual(load.limit, 1)
+        self.assertGreater(load.queued + load.busy, 1)
+        self.assertGreater(load.wait_s, 0.5)
+
     def test_target_that_was_never_listed_gets_work(self):
         self.assertEqual(self.get_started_ids(self.receive(1, instance="new")), [1])
 
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -2,16 +2,19 @@
 
 import unittest
 import zlib
+from dataclasses import replace
 
 from balsamdeal.core import request_events
-from balsamdeal.core.request_events import NodeLoad, SendAttempt, WorkReply
+from balsamdeal.core.request_events import LimitReport, NodeLoad, SendAttempt, WorkReply
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net.messages import Answer, HeaderNames, Payload
 from balsamdeal.net.node_codec import (
     FORMAT_VERSION,
     HEAD_PREFIX,
+    LIMIT_HEADER,
     WINDOW_BITS,
     NodeCodec,
+    make_work_headers,
 )
 
 NAMES = HeaderNames(
@@ -69,7 +72,7 @@
         for body in (b"", b"\x00\xff" * 5000):
             payload = make_payload(body)
             message = self.codec.encode_work(make_attempt(), "board", payload)
-            event, service, decoded = self.codec.decode_work(message, 5, 10.0)
+            event, service, decoded = self.codec.decode_work(message, 5, 10.0, {})
             self.assertEqual(decoded, payload)
             self.assertEqual(service, "board")
             self.assertEqual(
@@ -79,6 +82,16 @@
                 ),
             )
 
+    def test_limit_travels_beside_the_head(self):
+        message = self.codec.encode_work(make_attempt(), "board", make_payload())
+        for report in (LimitReport(16.2, 0.125), LimitReport(0.0, 80.0), None):
+            headers = make_work_headers(replace(make_attempt(), limit_report=report))
+            event, _, _ = self.codec.decode_work(message, 1, 0.0, headers)
+            self.assertEqual(event.limit_report, report)
+        for text in ("", "4", "x 1", "4 -1", "4 1 1", "nan 1"):
+            event, _, _ = self.codec.decode_work(message, 1, 0.0, {LIMIT_HEADER: text})
+            self.assertIsNone(event.limit_report)
+
     def test_answer_round_trip(self):
         reply = WorkReply(request_events.ANSWERED, True, "", 0.0, 0.108, load=LOAD)
         answer = make_answer()
@@ -133,7 +146,7 @@
         for message in messages:
             with self.subTest(message=message[:10]):
                 with self.assertRaises(ExchangeError) as caught:
-                    self.codec.decode_work(message, 1, 0.0)
+                    self.codec.decode_work(message, 1, 0.0, {})
                 self.assertFalse(caught.exception.written)
                 with self.assertRaises(ExchangeError) as caught:
                     self.codec.decode_reply(message, "peer", REQUEST_ID)
@@ -144,4 +157,4 @@
         packed = deflate.compress(b"[" * 50_000_000) + deflate.flush()
         message = HEAD_PREFIX.pack(FORMAT_VERSION << 24 | len(packed)) + packed
         with self.assertRaises(ExchangeError):
-            self.codec.decode_work(message, 1, 0.0)
+            self.codec.decode_work(message, 1, 0.0, {})
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -69,6 +69,8 @@
 
     # Guards against a server that gets far more requests than the limit in its answers.
     async def test_server_gets_no_more_requests_than_the_limit_it_names(self):
+        for server in self.servers:
+            server.delay_s = 0.1
         self.servers[0].notices = [("Server-Limit", "4.0")]
         named_s = self.now_s()
         await self.send_from_all(30, LIMIT_IN_FORCE_S + LIMIT_WINDOW_S + 1.0)
