Send nothing new to a target whose answers say that it is leaving

The node that passes the answer on stops choosing that target at once. Its notice is kept by name and start time of the target, also while its entry is missing, so that neither a list that says otherwise nor an entry that comes back ends it, and a restart under the same name does. The node in front refuses work for it a second later, as for one that the list shows as leaving. Found by the tests on the way: an answer of the last process that was read after the list had shown its restart made the new one count as leaving.

--- a/balsamdeal/core/notices.py
+++ b/balsamdeal/core/notices.py
@@ -10,9 +10,14 @@
 
 
 class NoticeTable:
-    """The last ``TargetNotice`` by identity of a target; changed in place."""
+    """The last ``TargetNotice`` by identity of a target; changed in place.
+
+    A target that is leaving does not come back: only a restart, which has another
+    identity, ends that. ``leaving`` holds the identities of those.
+    """
 
     def __init__(self):
+        self.leaving = set()
         self._notices = {}
         self._recorded_s = {}
         self._limited_since_s = {}
@@ -31,10 +36,14 @@
         known = self.get(identity)
         if notice.has_limit and notice.requests_per_s is None:
             notice = replace(notice, requests_per_s=known.requests_per_s)
+        if known.leaving and not notice.leaving:
+            notice = replace(notice, leaving=True)
         if notice == known:
             return False
         self._notices[identity] = notice
         self._recorded_s[identity] = now_s
+        if notice.leaving:
+            self.leaving.add(identity)
         if notice.requests_per_s is None:
             self._limited_since_s.pop(identity, None)
         else:
@@ -57,4 +66,5 @@
             if now_s - self._recorded_s[identity] > UNLISTED_TTL_S:
                 del self._notices[identity]
                 del self._recorded_s[identity]
+                self.leaving.discard(identity)
                 self._limited_since_s.pop(identity, None)
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -362,7 +362,7 @@
         listed = [
             target
             for target in self.targets.list_service(service)
-            if target.identity not in excluded and not target.leaving
+            if target.identity not in excluded and not self.targets.is_leaving(target)
         ]
         available = [
             target
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -73,7 +73,7 @@
             if target.node_address == self.own_node
         ]
         for target in listed:
-            if target.leaving:
+            if self.targets.is_leaving(target):
                 self.leaving_since_s.setdefault(target.instance, now_s)
             else:
                 self.leaving_since_s.pop(target.instance, None)
@@ -284,6 +284,9 @@
         changed = self.rate_limit.record_answer(notice, not event.declined, event.now_s)
         if not event.misdirected:
             changed |= self.targets.notices.record(item.identity, notice, event.now_s)
+            instance = item.event.instance
+            if notice.leaving and self._get_identity(instance) == item.identity:
+                self.leaving_since_s.setdefault(instance, event.now_s)
         if not changed:
             return []
         fields = {
--- a/balsamdeal/core/targets.py
+++ b/balsamdeal/core/targets.py
@@ -147,6 +147,13 @@
         """Return the targets of a service, those that are leaving included."""
         return self.services.get(service, [])
 
+    def is_leaving(self, target):
+        """Return whether the source or the target itself says that it is leaving."""
+        if target.leaving:
+            return True
+        leaving = self.notices.leaving
+        return bool(leaving) and target.identity in leaving
+
     def drop_unlisted_notices(self, now_s):
         """Drop the notices of targets that have been unlisted for long."""
         listed = {target.identity for target in self.targets.values()}
--- a/tests/core/test_notices.py
+++ b/tests/core/test_notices.py
@@ -15,6 +15,14 @@
     def setUp(self):
         self.notices = NoticeTable()
 
+    # Guards against a leaving target that is used again after an answer without the
+    # notice, such as one that was under way.
+    def test_leaving_target_does_not_come_back(self):
+        self.assertTrue(self.notices.record(FIRST, TargetNotice(leaving=True), 1.0))
+        self.assertFalse(self.notices.record(FIRST, NO_NOTICE, 2.0))
+        self.assertTrue(self.notices.get(FIRST).leaving)
+        self.assertFalse(self.notices.get(RESTARTED).leaving)
+
     def test_limit_follows_the_last_answer(self):
         for per_s in (4.0, 9.0, None):
             has_limit = per_s is not None
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from balsamdeal.core.placement import MAX_COMPARED, PROBE_AFTER_S, Placement
-from balsamdeal.core.request_events import NodeLoad
+from balsamdeal.core.request_events import NodeLoad, TargetNotice
 from balsamdeal.core.targets import TargetList
 from tests.core.test_routes import make_configuration, make_route
 from tests.core.test_targets import make_target
@@ -71,6 +71,18 @@
         tried = [self.targets.targets["n1"].identity]
         self.assertLessEqual(self.choose_repeatedly(excluded=tried), {"f0", "f1"})
 
+    # Guards against a leaving target that is chosen again once its entry comes back.
+    def test_target_that_says_it_is_leaving_is_excluded_until_it_restarts(self):
+        identity = self.targets.targets["n0"].identity
+        self.targets.notices.record(identity, TargetNotice(leaving=True), 0.0)
+        self.assertNotIn("n0", self.choose_repeatedly())
+        self.targets.apply_changes([("n0", None, 5)], 5, 1.0)
+        self.placement.drop_unlisted()
+        for revision, born_ms, expected in ((6, None, False), (7, 9, True)):
+            target = make_target("n0", revision, slots=10, born_ms=born_ms)
+            self.targets.apply_changes([("n0", target, revision)], revision, 2.0)
+            self.assertEqual("n0" in self.choose_repeatedly(), expected)
+
     # Guards against a target that is never asked again after its limit has ended.
     def test_target_with_a_limit_is_probed_once_its_report_is_old(self):
         load = NodeLoad(1, 0, 1, 0.1, 0.0, False)
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -198,6 +198,34 @@
         effects = self.receive(1, 10.0 + LEAVING_GRACE_S + 0.1)
         self.assertEqual(self.get_outcomes(effects), [(1, request_events.NOT_RUN)])
 
+    # Guards against a list without the leaving of a target that says so itself.
+    def test_target_that_says_it_is_leaving_gets_nothing_new_after_a_second(self):
+        self.list_target(2, slots=2, born_ms=7)
+        self.receive(1)
+        self.end(1, 0.1, notice=TargetNotice(leaving=True))
+        self.list_target(3, 0.5, slots=2, born_ms=7)
+        self.assertEqual(self.get_started_ids(self.receive(2, 0.6)), [2])
+        effects = self.receive(3, 0.1 + LEAVING_GRACE_S + 0.1)
+        self.assertEqual(self.get_outcomes(effects), [(3, request_events.NOT_RUN)])
+        self.list_target(4, 3.0, slots=2, born_ms=8)
+        self.assertEqual(self.get_started_ids(self.receive(4, 3.1)), [4])
+
+    # Guards against an answer of the last process that reaches the node after the list
+    # has shown its restart.
+    def test_late_notice_of_a_process_does_not_concern_its_restart(self):
+        self.list_target(2, slots=2, born_ms=7)
+        self.receive(1)
+        self.list_target(3, 0.5, slots=2, born_ms=8)
+        self.end(1, 0.6, notice=TargetNotice(leaving=True))
+        self.assertEqual(self.get_started_ids(self.receive(2, 2.0)), [2])
+
+    # Guards against the notice of a server that took over the address.
+    def test_notice_of_another_server_does_not_concern_the_target(self):
+        self.receive(1)
+        notice = TargetNotice(leaving=True)
+        self.end(1, 0.1, misdirected=True, declined=True, notice=notice)
+        self.assertEqual(self.get_started_ids(self.receive(2, 10.0)), [2])
+
     # Guards against more starts than the limit that the target names.
     def test_work_beyond_the_limit_waits_and_starts_in_turn(self):
         self.receive(1)
