Count from the last answer without a limit when a target names one

What was sent before a limit is named counts in the first span that operators check. The node took the first answer with the limit for the moment when the target had named it. Now the span begins from the last answer that lacked the limit.

--- a/balsamdeal/core/rate_limit.py
+++ b/balsamdeal/core/rate_limit.py
@@ -36,6 +36,7 @@
         self.settle_s = settle_s
         self.per_s = None
         self._named_s = -math.inf
+        self._unnamed_s = -math.inf
         self._answered = False
         # When the next start is due at a steady rate. Those before it may be early.
         self._due_s = -math.inf
@@ -53,9 +54,7 @@
             self._due_s = max(self._due_s, now_s) + 1 / self.per_s
 
     def _drop_old_starts(self, now_s):
-        """Drop the starts that no span contains in which a new limit is checked."""
-        oldest_s = now_s - max(0.0, WINDOW_S - self.settle_s)
-        while self._starts and self._starts[0] < oldest_s:
+        while self._starts and self._starts[0] <= now_s - WINDOW_S:
             self._starts.popleft()
 
     def record_answer(self, notice, ran, now_s):
@@ -74,6 +73,7 @@
         if not ran:
             return False
         self._answered = True
+        self._unnamed_s = now_s
         if self.per_s is None or now_s - self._named_s < KEEP_S:
             return False
         self.per_s = None
@@ -111,10 +111,14 @@
         """Return how long no request may start, after too many before the limit.
 
         The first span in which operators check the limit begins before it was named.
+        The target may have named it right after the last answer without it, which may
+        be long ago if this node has been suspended.
         """
-        self._drop_old_starts(now_s)
+        left_s = max(0.0, self._unnamed_s + self.settle_s - now_s)
+        from_s = now_s + left_s - WINDOW_S
+        started = sum(at_s > from_s for at_s in self._starts)
         allowed = FIRST_WINDOW_SHARE * WINDOW_S * self.per_s
-        excess = len(self._starts) + self.settle_s * self.per_s - allowed
+        excess = started + left_s * self.per_s - allowed
         return min(WINDOW_S, max(0.0, excess / self.per_s))
 
     def get_delay_s(self, now_s, ahead=0):
--- a/tests/core/test_rate_limit.py
+++ b/tests/core/test_rate_limit.py
@@ -65,6 +65,7 @@
             with self.subTest((before_per_s, per_s)):
                 self.setUp()
                 times = self.start_until(0.0, 8.0, 1 / before_per_s)
+                self.limit.record_answer(NO_NOTICE, True, 8.0)
                 self.limit.record_answer(make_notice(per_s), True, 8.0)
                 times += self.start_until(8.0, 20.0)
                 checked = [at_s for at_s in times if at_s > 8.0 + SETTLE_S - WINDOW_S]
@@ -73,6 +74,23 @@
                     span = [at for at in checked if end_s - WINDOW_S < at <= end_s]
                     self.assertLessEqual(len(span), allowed)
 
+    # Guards against a first span over the limit because the node was suspended when the
+    # target named it.
+    def test_limit_named_during_a_suspension_counts_from_the_last_answer(self):
+        for suspended_s in (1.0, 2.0, 3.0, 3.9):
+            with self.subTest(suspended_s):
+                self.setUp()
+                times = self.start_until(0.0, 8.0, 1 / 91)
+                self.limit.record_answer(NO_NOTICE, True, 8.0)
+                resumed_s = 8.0 + suspended_s
+                times += self.start_until(resumed_s, resumed_s + 0.01, 0.001)
+                self.limit.record_answer(make_notice(20.0), True, resumed_s + 0.01)
+                times += self.start_until(resumed_s + 0.01, 20.0)
+                allowed = FACTOR * WINDOW_S * 20.0 + SLACK
+                for end_s in [at_s for at_s in times if at_s >= 8.0 + SETTLE_S]:
+                    span = [at for at in times if end_s - WINDOW_S < at <= end_s]
+                    self.assertLessEqual(len(span), allowed)
+
     def test_lower_limit_applies_at_once(self):
         self.limit.record_answer(make_notice(40.0), True, 0.0)
         self.start_until(0.0, 10.0)
