Ignore requests to reload settings while the program starts

Cause: the default action of the signal, until the handler is in place some 0.4 s after the start; most of that time the modules are loading. Now it is ignored before they are loaded.

--- a/balsamdeal/platform/__main__.py
+++ b/balsamdeal/platform/__main__.py
@@ -1,15 +1,23 @@
 """Runs a node on the users' platform: ``python3 -m balsamdeal.platform``."""
 
-import argparse
-import asyncio
-import sys
-
-from balsamdeal import log
-from balsamdeal.platform.messages import HEADERS
-from balsamdeal.platform.settings import make_reader
-from balsamdeal.platform.store import StoreReader
-from balsamdeal.proxydaemon import serve
-from balsamdeal.runtime import make_loop
+import signal
+
+if __name__ == "__main__":
+    # A request to reload the settings would end the process until its handler is in
+    # place. The settings are read later, so nothing is missed.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+# isort: split
+import argparse  # noqa: E402
+import asyncio  # noqa: E402
+import sys  # noqa: E402
+
+from balsamdeal import log  # noqa: E402
+from balsamdeal.platform.messages import HEADERS  # noqa: E402
+from balsamdeal.platform.settings import make_reader  # noqa: E402
+from balsamdeal.platform.store import StoreReader  # noqa: E402
+from balsamdeal.proxydaemon import serve  # noqa: E402
+from balsamdeal.runtime import make_loop  # noqa: E402
 
 EXIT_SETTINGS = 2
 
