Soak: servers that name limits, and servers that say they are leaving

Arrivals are checked while the soak runs, against what callers of each node have received. The checks of constructed arrivals are in tests.tools.test_soak.

--- a/standins/server.py
+++ b/standins/server.py
@@ -40,7 +40,8 @@
     seconds. ``seen`` holds each request's line, headers and body. ``aborted_runs``
     counts runs during which the node closed its connection. ``arrivals`` holds the
     event loop's time of each request, in seconds. ``notices`` are pairs of header name
-    and value that all answers carry.
+    and value that all answers carry. ``on_arrival``, if set, is called with the server,
+    the id of each request that arrives, and that time.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -54,6 +55,7 @@
         self.aborted_runs = 0
         self.notices = []
         self.arrivals = []
+        self.on_arrival = None
         self.address = None
         self._server = None
         self._writers = set()
@@ -88,8 +90,11 @@
         headers = {name.lower(): value for name, value in pairs}
         body = await reader.readexactly(int(headers.get("content-length", 0)))
         self.seen.append((line, headers, body))
-        self.arrivals.append(asyncio.get_running_loop().time())
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals.append(now_s)
         request_id = headers.get("x-request-id", "")
+        if self.on_arrival is not None:
+            self.on_arrival(self, request_id, now_s)
         if headers.get("x-expected-instance") != self.instance:
             self._write(writer, 421, [("X-Instance-Id", self.instance)], b"")
             return True
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -3,7 +3,7 @@
 import unittest
 
 from standins.server import Server
-from tools.soak import Outcome, Soak, run_seed
+from tools.soak import NoticeRecord, Outcome, Soak, run_seed
 
 SEED = 7
 DURATION_S = 4.0
@@ -67,6 +67,45 @@
         self.run_at(self.soak.servers[0])
         self.assertIn("wrong answer", self.check(status=200, wrong_answer="other")[0])
 
+    def send_at(self, at_s, server, number, node=0):
+        """Have a request of a node arrive at a server."""
+        request_id = f"r{number}"
+        self.soak.outcomes_by_id[request_id] = Outcome(
+            request_id, False, at_s, node=node
+        )
+        server.seen.append(("", {"x-request-id": request_id}, b""))
+        server.arrivals.append(at_s)
+        self.soak._check_arrival(server, request_id, at_s)
+
+    def test_requests_above_a_limit_are_noticed(self):
+        server = self.soak.servers[0]
+        for told, expected in (({0: 10.2}, True), ({}, False), ({1: 10.2}, False)):
+            record = NoticeRecord(server, 1.0, 10.0, told)
+            self.soak.notice_records = [record]
+            server.seen.clear()
+            server.arrivals.clear()
+            for number in range(12):
+                self.send_at(13.0 + number / 10, server, number)
+            self.assertEqual("12 requests" in record.violation, expected)
+
+    def test_requests_before_a_limit_has_to_hold_are_no_violation(self):
+        server = self.soak.servers[0]
+        record = NoticeRecord(server, 1.0, 10.0, {0: 10.2})
+        self.soak.notice_records = [record]
+        for number in range(50):
+            self.send_at(10.5 + number / 25, server, number)
+        self.assertEqual(record.violation, "")
+
+    def test_late_request_for_a_leaving_server_is_noticed(self):
+        server = self.soak.servers[0]
+        record = NoticeRecord(server, None, 10.0, {0: 10.2})
+        self.soak.notice_records = [record]
+        self.send_at(12.1, server, 1)
+        self.send_at(12.5, server, 2, node=1)
+        self.assertEqual(record.violation, "")
+        self.send_at(12.3, server, 3)
+        self.assertIn("leaving", record.violation)
+
     def test_hang_and_errors_in_logs_are_noticed(self):
         self.assertIn("no answer", self.check(error="timeout")[0])
         self.soak.read_logs = lambda: "Traceback (most recent call last)"
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,7 +13,7 @@
 import sys
 import tempfile
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
 
@@ -41,6 +41,15 @@
 RECOVERY_TIMEOUT_S = 15.0
 # Statuses that guarantee that the request was not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Operators count a server's requests over spans of this length, from some time after it
+# has first named a limit, and those of nodes that it told a while before. They allow
+# one and a half times what the limit allows, and a few requests more.
+LIMIT_WINDOW_S, LIMIT_SETTLE_S, TOLD_BEFORE_S = 4.0, 3.0, 0.5
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
+# A server that says it is leaving may get new requests for this long.
+DRAIN_S = 2.0
+# How long a server names a limit, or says that it is leaving, at most.
+MAX_NOTICE_S = 9.0
 
 
 @dataclass
@@ -49,7 +58,8 @@
 
     ``once`` marks a request that must run at most once. ``status`` is None if no answer
     came; ``error`` then names the step of the exchange that failed. ``wrong_answer``
-    holds a successful answer that does not belong to the request.
+    holds a successful answer that does not belong to the request. ``node`` is the
+    number of the node that was called.
     """
 
     request_id: str
@@ -58,6 +68,23 @@
     status: int | None = None
     error: str = ""
     wrong_answer: str = ""
+    node: int = 0
+
+
+@dataclass
+class NoticeRecord:
+    """A server's notice, and since when each node has known it.
+
+    ``per_s`` is the limit that the server named at ``since_s``, None if it said that it
+    was leaving. ``told_s`` holds when a node first passed on an answer with the notice,
+    by the node's number; disturbed nodes are left out until they do so again.
+    """
+
+    server: Server
+    per_s: float | None
+    since_s: float
+    told_s: dict = field(default_factory=dict)
+    violation: str = ""
 
 
 class Soak(PlatformNodes):
@@ -78,6 +105,7 @@
         self.random = Random(seed)
         self.links = {}
         self.outcomes = []
+        self.outcomes_by_id = {}
         self.version = 1
         self.schedule = []
         self.stopping = False
@@ -86,6 +114,7 @@
         self.unexpected_exits = []
         self.expected_exits = set()
         self.tasks = set()
+        self.notice_records = []
 
     def make_configuration(self, version):
         """Return a configuration with two routes per service and one for the version.
@@ -136,6 +165,7 @@
         """Open the links between nodes, to the servers and to the store."""
         for index in range(self.nodes):
             self.servers[index].delay_s = WORK_S
+            self.servers[index].on_arrival = self._check_arrival
             ip = self.get_ip(index)
             await self._open_link(("store", index), ip, STORE_PORT, self.store.address)
             address = self.servers[index].address
@@ -178,8 +208,9 @@
     async def _send(self, index, path, request_id, once, new_connection):
         """Send one request; record and return its outcome."""
         now_s = asyncio.get_running_loop().time()
-        outcome = Outcome(request_id, once, now_s)
+        outcome = Outcome(request_id, once, now_s, node=index)
         self.outcomes.append(outcome)
+        self.outcomes_by_id[request_id] = outcome
         try:
             response = await self.call(
                 path,
@@ -192,6 +223,7 @@
             outcome.error = error.step
             return outcome
         outcome.status = response.status
+        self._record_told(index, response)
         if 200 <= response.status < 300:
             seal = response.headers.get("X-Server-Seal")
             body = response.body.decode()
@@ -199,6 +231,89 @@
                 outcome.wrong_answer = f"{seal} {body}"
         return outcome
 
+    # Notices
+
+    def _record_told(self, index, response):
+        """Note that a node has passed on an answer with a notice."""
+        now_s = asyncio.get_running_loop().time()
+        server_name = response.body.decode(errors="replace").split(" ")[0]
+        for record in self.notice_records:
+            name = "Server-Limit" if record.per_s is not None else "Server-Leaving"
+            if record.server.instance == server_name and name in response.headers:
+                record.told_s.setdefault(index, now_s)
+
+    def _excuse_nodes(self, indices, also_leaving=True):
+        """Forget what disturbed nodes know of servers."""
+        for record in self.notice_records:
+            if also_leaving or record.per_s is not None:
+                for index in indices:
+                    record.told_s.pop(index, None)
+
+    def _check_arrival(self, server, request_id, now_s):
+        """Note a violation if a request that arrives at a server exceeds its notice."""
+        for record in self.notice_records:
+            if record.server is not server or record.violation:
+                continue
+            if record.per_s is None:
+                self._check_leaving(record, request_id)
+            elif now_s >= record.since_s + LIMIT_SETTLE_S:
+                self._check_limit(record, now_s)
+
+    def _check_leaving(self, record, request_id):
+        outcome = self.outcomes_by_id.get(request_id)
+        told_s = outcome and record.told_s.get(outcome.node)
+        if told_s and outcome.at_s > told_s + DRAIN_S:
+            late_s = outcome.at_s - told_s
+            name = f"{record.server.instance} is leaving"
+            record.violation = f"{name}, but got {request_id} {late_s:.1f} s later"
+
+    def _check_limit(self, record, now_s):
+        server = record.server
+        count = 0
+        for at_s, (_, headers, _) in zip(server.arrivals[::-1], server.seen[::-1]):
+            if at_s <= now_s - LIMIT_WINDOW_S:
+                break
+            outcome = self.outcomes_by_id.get(headers.get("x-request-id"))
+            told_s = outcome and record.told_s.get(outcome.node)
+            count += bool(told_s) and told_s <= now_s - TOLD_BEFORE_S
+        allowed = LIMIT_FACTOR * record.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        if count > allowed:
+            name = f"{server.instance} named {record.per_s:.1f}/s"
+            record.violation = (
+                f"{name}, but got {count} requests, {allowed:.0f} allowed"
+            )
+
+    async def _name_limit(self):
+        """Have a server name a limit, which may change, for some time."""
+        server = self.servers[self.random.randrange(self.nodes)]
+        if server.notices:
+            return
+        per_s = self.random.uniform(0.5, 20.0)
+        duration_s = self.random.uniform(4.0, MAX_NOTICE_S)
+        self._record_fault(f"{server.instance}: {per_s:.1f}/s for {duration_s:.1f} s")
+        now_s = asyncio.get_running_loop().time()
+        record = NoticeRecord(server, per_s, now_s)
+        self.notice_records.append(record)
+        server.notices = [("Server-Limit", f"{per_s:.1f}")]
+        await asyncio.sleep(duration_s)
+        server.notices = []
+        record.told_s.clear()
+
+    async def _announce_leaving(self):
+        """Have a server say that it is leaving, then replace it."""
+        index = self.random.randrange(self.nodes)
+        server = self.servers[index]
+        if server.notices or index in self.being_replaced:
+            return
+        duration_s = self.random.uniform(DRAIN_S, MAX_NOTICE_S)
+        self._record_fault(f"{server.instance} says it leaves, {duration_s:.1f} s")
+        now_s = asyncio.get_running_loop().time()
+        self.notice_records.append(NoticeRecord(server, None, now_s))
+        server.notices = [("Server-Leaving", "1")]
+        await asyncio.sleep(duration_s)
+        if self.servers[index] is server:
+            await self._replace_server(index)
+
     # Faults
 
     def _record_fault(self, text):
@@ -207,24 +322,29 @@
 
     async def _break_one_link(self):
         name = self.random.choice(sorted(self.links, key=str))
-        await self._inject_link_fault([self.links[name]], f"link {name}")
+        # A link to a server holds back requests of all nodes.
+        nodes = range(self.nodes) if name[0] == "server" else name
+        await self._inject_link_fault([self.links[name]], nodes, f"link {name}")
 
     async def _break_node_links(self):
         index = self.random.randrange(self.nodes)
         links = [link for name, link in self.links.items() if index in name]
-        await self._inject_link_fault(links, f"all links of node {index}")
+        nodes = range(self.nodes)
+        await self._inject_link_fault(links, nodes, f"all links of node {index}")
 
-    async def _inject_link_fault(self, links, text):
-        """Apply one random fault to the given links for a random time."""
+    async def _inject_link_fault(self, links, nodes, text):
+        """Apply one random fault to links of the given nodes for a random time."""
         mode = self.random.choice(FAULTS)
         fault_duration_s = self.random.uniform(0.2, MAX_FAULT_S)
         self._record_fault(f"{text} {mode} for {fault_duration_s:.1f} s")
         for link in links:
             link.set_mode(mode)
+        self._excuse_nodes(nodes, also_leaving=False)
         if mode != RESET:
             await asyncio.sleep(fault_duration_s)
             for link in links:
                 link.set_mode(PASS)
+            self._excuse_nodes(nodes, also_leaving=False)
 
     async def _suspend_node(self):
         index = self.random.randrange(self.nodes)
@@ -233,7 +353,9 @@
         self._record_fault(f"node {index} suspended for {fault_duration_s:.1f} s")
         if process.poll() is None:
             process.send_signal(signal.SIGSTOP)
+            self._excuse_nodes([index])
             await asyncio.sleep(fault_duration_s)
+            self._excuse_nodes([index])
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
 
@@ -263,6 +385,7 @@
         while process.poll() is None:
             await asyncio.sleep(0.05)
         await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        self._excuse_nodes([index])
         if self.processes[index] is process:
             self.start_node(index)
 
@@ -311,9 +434,10 @@
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         self.put_entry(index)
 
-    async def _replace_server(self):
+    async def _replace_server(self, index=None):
         """Replace a server by a new one at the same address."""
-        index = self.random.randrange(self.nodes)
+        if index is None:
+            index = self.random.randrange(self.nodes)
         if index in self.being_replaced:
             return  # its replacement does not listen yet
         self.being_replaced.add(index)
@@ -325,6 +449,7 @@
         host, _, port = old.address.rpartition(":")
         server = Server(f"i-{index}-{len(self.replaced_servers)}")
         server.delay_s = WORK_S
+        server.on_arrival = self._check_arrival
         self.servers[index] = server
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         await server.listen(host, int(port))
@@ -346,6 +471,8 @@
             (self._slow_down_server, 2),
             (self._expire_entry, 1),
             (self._replace_server, 1),
+            (self._name_limit, 2),
+            (self._announce_leaving, 1),
         )
         actions, weights = zip(*kinds)
         end_s = asyncio.get_running_loop().time() + self.duration_s
@@ -387,6 +514,9 @@
         # Requests that a link held back may arrive until its other end has closed.
         await asyncio.sleep(1.0)
         self._record_unexpected_exits()
+        violations += [
+            record.violation for record in self.notice_records if record.violation
+        ]
         return violations + self.unexpected_exits + self._check_outcomes()
 
     async def _check_recovery(self):
