--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -118,12 +118,11 @@
     def make_load(self, now_s):
         """Return the current ``NodeLoad``, which is part of each reply."""
         queue = self.queue
-        work_s = queue.estimate_work_s(now_s)
         return NodeLoad(
             len(queue.running),
             len(queue.waiting) + round(self.rate_limit.count_due(now_s)),
             self.rate_limit.limit_runs(queue.limit, queue.get_mean_work_s()),
-            work_s,
+            queue.estimate_work_s(now_s),
             queue.estimate_wait_s(len(queue.waiting), now_s),
             self.stop is not None and self.stop.is_near(now_s),
         )
@@ -190,6 +189,7 @@
                 "busy": load.busy,
                 "queued": load.queued,
                 "limit": load.limit,
+                "limit_per_s": self.rate_limit.per_s,
                 "work_ms": round(load.work_s * 1000),
                 "objective_left_ms": round(event.objective_left_s * 1000),
                 "time_left_ms": round(event.time_left_s * 1000),
