Soak: do not check a limit that has ended

The trace: the server named 8.5 a second from 0 to 7.6 s and 14.6 from 9.83 s, and the answers with the second limit made the check count again for the first. The check was wrong, not the nodes; a limit is now checked until it ends, with the same bound.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -96,6 +96,14 @@
             self.send_at(10.5 + number / 25, server, number)
         self.assertEqual(record.violation, "")
 
+    def test_limit_that_has_ended_is_not_checked(self):
+        server = self.soak.servers[0]
+        record = NoticeRecord(server, 1.0, 10.0, {0: 10.2}, ended=True)
+        self.soak.notice_records = [record]
+        for number in range(12):
+            self.send_at(13.0 + number / 10, server, number)
+        self.assertEqual(record.violation, "")
+
     def test_late_request_for_a_leaving_server_is_noticed(self):
         server = self.soak.servers[0]
         record = NoticeRecord(server, None, 10.0, {0: 10.2})
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -77,7 +77,8 @@
 
     ``per_s`` is the limit that the server named at ``since_s``, None if it said that it
     was leaving. ``told_s`` holds when a node first passed on an answer with the notice,
-    by the node's number; disturbed nodes are left out until they do so again.
+    by the node's number; disturbed nodes are left out until they do so again. A limit
+    that has ``ended`` is not checked: the server may name another one later.
     """
 
     server: Server
@@ -85,6 +86,7 @@
     since_s: float
     told_s: dict = field(default_factory=dict)
     violation: str = ""
+    ended: bool = False
 
 
 class Soak(PlatformNodes):
@@ -252,7 +254,7 @@
     def _check_arrival(self, server, request_id, now_s):
         """Note a violation if a request that arrives at a server exceeds its notice."""
         for record in self.notice_records:
-            if record.server is not server or record.violation:
+            if record.server is not server or record.violation or record.ended:
                 continue
             if record.per_s is None:
                 self._check_leaving(record, request_id)
@@ -297,7 +299,7 @@
         server.notices = [("Server-Limit", f"{per_s:.1f}")]
         await asyncio.sleep(duration_s)
         server.notices = []
-        record.told_s.clear()
+        record.ended = True
 
     async def _announce_leaving(self):
         """Have a server say that it is leaving, then replace it."""
