Let no work wait for a limited target longer than others may need

Under a limit slots are free, and other targets mostly have room. It now waits while it can be in time; other work as in a standing queue.

--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -175,10 +175,13 @@
         in_time_s = event.objective_left_s - TAIL_FACTOR * work_s
         late_s = event.time_left_s - 2 * work_s
         last_rank = max(self.work_s_by_class, default=(event.rank,))[0]
+        # Slots are free under a rate limit, so other targets probably have room.
+        limited = self.rate_limit.per_s is not None
         if event.rank < last_rank:
-            return min(late_s, URGENT_WAIT_SHARE * event.time_left_s)
+            max_wait_s = min(late_s, URGENT_WAIT_SHARE * event.time_left_s)
+            return min(max_wait_s, max(0.0, in_time_s)) if limited else max_wait_s
         if in_time_s > 0:
-            standing = self._is_standing(event.now_s)
+            standing = limited or self._is_standing(event.now_s)
             share = STANDING_WAIT_SHARE if standing else BURST_WAIT_SHARE
             return min(in_time_s, share * event.objective_left_s)
         # It will miss its objective, but a run may still end before its deadline.
