Skip answers without an id on connections in use again

Users of similar systems reported that a server sent a second copy of an answer late, on a connection in use again. Here such a copy of an answer that says that nothing ran, and lacks the request's id, was taken for the answer to the next request: its caller got 503, and the request ran (test with processes: 503 and one run before, 200 and one run after). Cause: answers that say so were accepted without an id, as a server that cannot read the id has none to echo. Now that holds only on a connection that has carried no other request, or for a request without an id.

--- a/balsamdeal/net/answer_checks.py
+++ b/balsamdeal/net/answer_checks.py
@@ -13,17 +13,21 @@
 
 
 def make_request_id_check(names, request_id):
-    """Return a predicate of status and headers: whether an answer is to a request.
+    """Return a predicate of an answer: whether it is to a request.
+
+    It takes the status, the headers, and whether the connection has been used before.
 
     :param names: the ``HeaderNames`` of the deployment.
     :param request_id: the id of the request, which the target echoes in its answer.
     """
 
-    def matches_request(status, headers):
+    def matches_request(status, headers, reused):
         echoed = headers.get(names.request_id)
         if echoed is None:
-            # Only answers that say that the request was not run may lack the id.
-            return status == MISDIRECTED or names.declined in headers
+            # Only answers that say that the request was not run may lack the id. On a
+            # connection in use again, it may be a copy of an earlier one.
+            not_run = status == MISDIRECTED or names.declined in headers
+            return not_run and not (reused and request_id)
         return echoed == request_id
 
     return matches_request
--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -9,6 +9,7 @@
 import re
 import socket
 from dataclasses import dataclass
+from functools import partial
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
@@ -189,22 +190,25 @@
         :param non_idempotent: whether the request is not idempotent, so that it must
             not be sent on a connection that has been idle for long and may be dead.
         :param exchange: an ``Exchange`` that can cancel it.
-        :param matches_request: a predicate of an answer's status and headers: whether
-            the answer is to this request. Other answers are skipped, and the
-            connection is closed after the exchange.
+        :param matches_request: a predicate of an answer's status, its headers and
+            whether the connection has carried other requests: whether the answer is to
+            this request. Other answers are skipped, and the connection is closed after
+            the exchange.
         :raises ExchangeError: when no complete response arrived.
         """
         exchange = exchange or Exchange()
         timer = self._loop.call_later(timeout_s, self._time_out, address, exchange)
         try:
             stream = self._take_idle(address, new_connection, non_idempotent)
-            if stream is None:
+            reused = stream is not None
+            if not reused:
                 stream = await self._connect(address, timeout_s, exchange)
             exchange.stream = stream
             if exchange.cancelled:
                 stream.close()
+            matches = matches_request and partial(matches_request, reused=reused)
             return await self._exchange(
-                stream, address, method, path, headers, body, exchange, matches_request
+                stream, address, method, path, headers, body, exchange, matches
             )
         finally:
             timer.cancel()
--- a/standins/server.py
+++ b/standins/server.py
@@ -7,6 +7,7 @@
 
 SERVER_FAULTS = (
     "decline",
+    "decline-twice",
     "fail",
     "reset",
     "cut",
@@ -36,12 +37,13 @@
     """One server; ``runs`` counts runs by request id.
 
     Each request for this instance removes the first entry of ``pending_faults``, one
-    of SERVER_FAULTS, and gets that fault. ``delay_s`` is the duration of a run in
-    seconds. ``seen`` holds each request's line, headers and body. ``aborted_runs``
-    counts runs during which the node closed its connection. ``arrivals`` holds the
-    event loop's time of each request, in seconds. ``notices`` are pairs of header name
-    and value that all answers carry. ``on_arrival``, if set, is called with the server,
-    the id of each request that arrives, and that time.
+    of SERVER_FAULTS, and gets that fault; the second copy of "decline-twice" has no
+    request id and is sent when the next request arrives on the connection. ``delay_s``
+    is the duration of a run in seconds. ``seen`` holds each request's line, headers and
+    body. ``aborted_runs`` counts runs during which the node closed its connection.
+    ``arrivals`` holds the event loop's time of each request, in seconds. ``notices``
+    are pairs of header name and value that all answers carry. ``on_arrival``, if set,
+    is called with the server, the id of each request that arrives, and that time.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -59,6 +61,7 @@
         self.address = None
         self._server = None
         self._writers = set()
+        self._late_copies = {}
 
     async def listen(self, host, port=0):
         """Open the server, and set ``address``."""
@@ -81,6 +84,7 @@
             pass  # the node has closed its connection
         finally:
             self._writers.discard(writer)
+            self._late_copies.pop(writer, None)
             writer.close()
 
     async def _serve_one(self, reader, writer):
@@ -95,13 +99,19 @@
         request_id = headers.get("x-request-id", "")
         if self.on_arrival is not None:
             self.on_arrival(self, request_id, now_s)
+        if writer in self._late_copies:
+            self._write(writer, *self._late_copies.pop(writer))
         if headers.get("x-expected-instance") != self.instance:
-            self._write(writer, 421, [("X-Instance-Id", self.instance)], b"")
+            echoed = [("X-Request-Id", request_id), ("X-Instance-Id", self.instance)]
+            self._write(writer, 421, echoed, b"")
             return True
         fault = self.pending_faults.pop(0) if self.pending_faults else None
-        if fault == "decline":
-            headers = [("X-Not-Executed", "1"), *self.notices]
-            self._write(writer, 503, headers, b"")
+        if fault in ("decline", "decline-twice"):
+            not_run = [("X-Not-Executed", "1"), *self.notices]
+            echoed = [("X-Request-Id", request_id)]
+            self._write(writer, 503, not_run + echoed, b"")
+            if fault == "decline-twice":
+                self._late_copies[writer] = (503, not_run, b"")
             return True
         self.runs[request_id] += 1
         if not await self._simulate_run(reader):
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -48,6 +48,15 @@
     async def test_answer_ended_by_connection_close_is_complete(self):
         self.assertEqual(await self.call_with_fault("unframed", "/once/1"), (200, 1))
 
+    # Guards against a request that runs while its caller is told that it does not: a
+    # second copy of an earlier answer, without an id, was taken for its answer.
+    async def test_late_copy_of_a_decline_does_not_answer_the_next_request(self):
+        self.servers[0].pending_faults = ["decline-twice"]
+        await self.call("/once/1", "r1")
+        response = await self.call("/once/2", "r2")
+        self.assertEqual((response.status, self.count_runs("r2")), (200, 1))
+        self.assertEqual(response.body, b"i-0 ran /once/2")
+
     async def test_declined_request_is_not_run_and_has_retry_after(self):
         self.servers[0].pending_faults = ["decline"]
         response = await self.call("/once/1", "r1")
