--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -16,6 +16,7 @@
 )
 from balsamdeal.core.calls import Calls
 from balsamdeal.core.placement import Placement
+from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
 from balsamdeal.core.replication import ConfigReplication
 from balsamdeal.core.route_documents import make_document, read_configuration
 from balsamdeal.core.target_work import TargetWork
@@ -42,7 +43,7 @@
         seed,
         repeat_share=0.2,
         link_mbps=None,
-        limit_settle_s=target_work.LIMIT_SETTLE_S,
+        limit_settle_s=DEFAULT_SETTLE_S,
     ):
         random = Random(seed)
         self._own_domain = own_domain
--- a/balsamdeal/core/rate_limit.py
+++ b/balsamdeal/core/rate_limit.py
@@ -16,6 +16,9 @@
 # A start may come this much before its turn, so that requests that arrive together
 # need not wait for each other.
 BURST_S = 0.25
+# Operators expect a limit to hold this long after a target has first named it, where
+# their settings do not say otherwise.
+DEFAULT_SETTLE_S = 3.0
 # Rate for targets that accept fewer requests: only answers tell when a limit ends.
 MIN_PER_S = 0.5
 # A limit ends when an answer lacks it, but not sooner than this after the last answer
@@ -35,8 +38,8 @@
     def __init__(self, settle_s):
         self.settle_s = settle_s
         self.per_s = None
-        self._named_s = -math.inf
-        self._unnamed_s = -math.inf
+        self._last_named_s = -math.inf
+        self._last_unnamed_s = -math.inf
         self._answered = False
         # When the next start is due at a steady rate. Those before it may be early.
         self._due_s = -math.inf
@@ -66,15 +69,15 @@
         """
         if notice.has_limit:
             self._answered = True
-            self._named_s = now_s
+            self._last_named_s = now_s
             if notice.requests_per_s is None:
                 return False
             return self._set(notice.requests_per_s, now_s)
         if not ran:
             return False
         self._answered = True
-        self._unnamed_s = now_s
-        if self.per_s is None or now_s - self._named_s < KEEP_S:
+        self._last_unnamed_s = now_s
+        if self.per_s is None or now_s - self._last_named_s < KEEP_S:
             return False
         self.per_s = None
         self._due_s = -math.inf
@@ -114,7 +117,7 @@
         The target may have named it right after the last answer without it, which may
         be long ago if this node has been suspended.
         """
-        left_s = max(0.0, self._unnamed_s + self.settle_s - now_s)
+        left_s = max(0.0, self._last_unnamed_s + self.settle_s - now_s)
         from_s = now_s + left_s - WINDOW_S
         started = sum(at_s > from_s for at_s in self._starts)
         allowed = FIRST_WINDOW_SHARE * WINDOW_S * self.per_s
@@ -130,8 +133,8 @@
             due_s = max(due_s, self._reported_since_s + WINDOW_S)
         return max(0.0, due_s + ahead / self.per_s - now_s)
 
-    def count_due(self, now_s):
-        """Return how many requests the target could have run until the next start."""
+    def get_excess(self, now_s):
+        """Return by how many requests the target has had more than its limit allows."""
         return 0.0 if self.per_s is None else self.get_delay_s(now_s) * self.per_s
 
     def limit_runs(self, runs, work_s):
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -4,7 +4,7 @@
 target, or if the target itself reports that it ran nothing.
 """
 
-from balsamdeal.core.rate_limit import RateLimit
+from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S, RateLimit
 from balsamdeal.core.request_events import (
     ANSWERED,
     NOT_RUN,
@@ -37,9 +37,6 @@
 # State of targets that are no longer listed is kept for this long. Nodes with an old
 # list stop sending work for them much sooner.
 ABSENT_TARGET_TTL_S = 120.0
-# Operators expect a limit to hold this long after a target has first named it, where
-# their settings do not say otherwise.
-LIMIT_SETTLE_S = 3.0
 # Retry delay for work that the target declined, or that got no answer from it.
 TARGET_ERROR_RETRY_S = 0.3
 
@@ -53,7 +50,7 @@
         operators expect it to hold.
     """
 
-    def __init__(self, targets, own_node, limit_settle_s=LIMIT_SETTLE_S):
+    def __init__(self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S):
         self.targets = targets
         self.own_node = own_node
         self.rate_limit = RateLimit(limit_settle_s)
@@ -120,7 +117,7 @@
         queue = self.queue
         return NodeLoad(
             len(queue.running),
-            len(queue.waiting) + round(self.rate_limit.count_due(now_s)),
+            len(queue.waiting) + round(self.rate_limit.get_excess(now_s)),
             self.rate_limit.limit_runs(queue.limit, queue.get_mean_work_s()),
             queue.estimate_work_s(now_s),
             queue.estimate_wait_s(len(queue.waiting), now_s),
--- a/balsamdeal/platform/settings.py
+++ b/balsamdeal/platform/settings.py
@@ -4,6 +4,7 @@
 import secrets
 from pathlib import Path
 
+from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
 from balsamdeal.platform.messages import Message
 from balsamdeal.proxysettings import ProxySettings
 
@@ -33,7 +34,7 @@
 
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
-    stable_window_s: float = 3.0
+    stable_window_s: float = DEFAULT_SETTLE_S
 
 
 class VmLimitsMessage(Message):
--- a/balsamdeal/proxysettings.py
+++ b/balsamdeal/proxysettings.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass
 
+from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
+
 
 @dataclass(frozen=True, slots=True)
 class ProxySettings:
@@ -33,4 +35,4 @@
     repeat_share: float
     seed: int
     link_mbps: float | None = None
-    limit_settle_s: float = 3.0
+    limit_settle_s: float = DEFAULT_SETTLE_S
