--- a/tests/core/replication_fleet.py
+++ b/tests/core/replication_fleet.py
@@ -145,6 +145,9 @@
     :param layout: a list of (domain, Mbit/s), one for each node.
     :param seed: the seed of the nodes and of the times of their ticks.
     :param size: the bytes of a whole version.
+
+    ``source_delay_s`` and ``message_delay_s`` are added to each answer of the source and
+    to each message between nodes.
     """
 
     def __init__(self, layout, seed=1, size=WHOLE_BYTES):
@@ -152,6 +155,8 @@
         self.random = Random(seed)
         self.size = size
         self.source_failure = None
+        self.source_delay_s = 0.0
+        self.message_delay_s = 0.0
         self.items = []
         self.calls = []
         self.changes = []
@@ -392,7 +397,7 @@
         if peer.killed or peer.replication is None:
             self.at(self.now_s + LATENCY_S, self._fail, exchange, "refused")
             return
-        arrival_s = self._transfer(node, peer, SMALL_BYTES)
+        arrival_s = self._transfer(node, peer, SMALL_BYTES) + self.message_delay_s
         self.at(arrival_s, self._deliver_poll, exchange, effect.request)
 
     def _deliver_poll(self, exchange, request):
@@ -419,7 +424,7 @@
             size += self._measure(answer.delta)
             if node.corrupts_deltas:
                 answer = replace(answer, delta=self._corrupt(answer.delta))
-        arrival_s = self._transfer(node, exchange.caller, size)
+        arrival_s = self._transfer(node, exchange.caller, size) + self.message_delay_s
         self.at(arrival_s, self._finish, exchange, lambda: exchange.on_answer(answer))
 
     def _measure(self, delta):
@@ -498,7 +503,7 @@
         node = exchange.caller
         node.whole_reads += [self.now_s] * len(items)
         size = SMALL_BYTES + sum(item.size for item in items)
-        arrival_s = self._transfer(None, node, size)
+        arrival_s = self._transfer(None, node, size) + self.source_delay_s
         self.at(arrival_s, self._deliver_versions, exchange, items, len(self.items))
 
     def _deliver_versions(self, exchange, items, revision):
