Log how long a version was asked for, and from whom

To tell late answers of the source or of nodes from a wrong choice of nodes, the line on a configuration in force names the time since its poll or read began, and the nodes that this one polls.

--- a/balsamdeal/core/replication.py
+++ b/balsamdeal/core/replication.py
@@ -454,7 +454,7 @@
             fields = {"node": address, "reason": str(error)}
             return [effects.ReportChange("bad difference", fields)]
         self._is_behind = False
-        result = self._apply_if_newer(document, address, now_s)
+        result = self._apply_if_newer(document, address, polled_s, now_s)
         return result + self._poll_again(address, now_s)
 
     def _poll_again(self, address, now_s):
@@ -494,6 +494,7 @@
 
     def handle_source_answer(self, event):
         """Put the version of the source in force if it is newer."""
+        read_s = self.sources.states[CONFIG].read_s
         # Compared with the version at the beginning of the read: other nodes may have
         # sent newer ones since.
         current, result = self.sources.handle_answer(event, self._read_base)
@@ -504,7 +505,9 @@
             self._next_whole_read_s = event.now_s + FRUITLESS_READ_PAUSE_S
         self._is_behind = False
         if event.document is not None:
-            result += self._apply_if_newer(event.document, "source", event.now_s)
+            result += self._apply_if_newer(
+                event.document, "source", read_s, event.now_s
+            )
         return result
 
     def handle_source_failure(self, event):
@@ -513,10 +516,13 @@
 
     # Versions
 
-    def _apply_if_newer(self, document, origin, now_s):
+    def _apply_if_newer(self, document, origin, asked_s, now_s):
         """Apply a document as a whole if it is newer than the one in force.
 
         An invalid one is remembered as rejected, and not applied at all.
+
+        :param origin: the address of the node that sent it, or ``"source"``.
+        :param asked_s: when the poll or read began that brought it.
         """
         versions = self.versions
         if not versions.is_acceptable(document.version):
@@ -539,6 +545,8 @@
             None if before is None else before.version.revision,
             len(document.parts),
             origin,
+            now_s - asked_s,
+            tuple(self.list_parents(now_s)),
         )
         deltas = {}
         waiting = [
--- a/balsamdeal/core/replication_messages.py
+++ b/balsamdeal/core/replication_messages.py
@@ -93,10 +93,14 @@
 
     ``version`` and ``before`` are the revisions of this and of the replaced one, which
     is None for the first. ``routes`` is the number of parts in this one. ``origin`` is
-    the address of the node that sent it, or ``"source"``.
+    the address of the node that sent it, or ``"source"``, and ``asked_s`` how long ago
+    the poll or read began that brought it, in seconds. ``parents`` are the nodes that
+    this one polls, none if it watches the source.
     """
 
     version: int
     before: int | None
     routes: int
     origin: str
+    asked_s: float
+    parents: tuple[str, ...]
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -73,6 +73,8 @@
             "before": effect.before,
             "routes": effect.routes,
             "origin": effect.origin,
+            "asked_ms": round(effect.asked_s * 1000),
+            "parents": effect.parents,
         }
         logger.info("configuration in force", extra=fields)
 
