--- a/tests/core/replication_fleet.py
+++ b/tests/core/replication_fleet.py
@@ -146,8 +146,8 @@
     :param seed: the seed of the nodes and of the times of their ticks.
     :param size: the bytes of a whole version.
 
-    ``source_delay_s`` and ``message_delay_s`` are added to each answer of the source and
-    to each message between nodes.
+    ``source_delay_s`` is added to each answer of the source, and ``message_delay_s`` to
+    each message between nodes.
     """
 
     def __init__(self, layout, seed=1, size=WHOLE_BYTES):
--- a/tests/core/test_replication.py
+++ b/tests/core/test_replication.py
@@ -388,6 +388,94 @@
                 self.check_in_force(fleet, revision)
 
 
+class SlowSourceTest(FleetTest):
+    """Versions are in force in time although answers take long.
+
+    Guards against slow answers that count as lost: watches are given up before they can
+    be answered, nodes that wait for the source are left out, and others read in their
+    place, which adds load to what is slow.
+    """
+
+    VERSIONS = 6
+    VERSION_GAP_S = 1.12
+
+    def write_versions(self, fleet, before_each=lambda fleet: ()):
+        """Write versions; return the share of deliveries that came too late.
+
+        :param before_each: acts before each version, and returns the addresses of nodes
+            that are excused.
+        """
+        excused, revisions = set(), []
+        for _ in range(self.VERSIONS):
+            excused |= set(before_each(fleet))
+            revisions.append(fleet.write())
+            fleet.run(self.VERSION_GAP_S)
+        fleet.run(4.0)
+        nodes = set(fleet.list_faultless()) - excused
+        late = [
+            fleet.measure_delay_s(revision, [address]) > IN_FORCE_S
+            for revision in revisions
+            for address in nodes
+        ]
+        return sum(late) / len(late)
+
+    def check_in_time(
+        self, delay_s, layout=FLEET, settle_s=0.0, seeds=SEEDS, **options
+    ):
+        for seed in seeds:
+            with self.subTest(seed=seed):
+                fleet = start_fleet(layout, seed)
+                fleet.source_delay_s = delay_s
+                fleet.run(settle_s)
+                calls, since_s = len(fleet.calls), fleet.now_s
+                self.assertEqual(self.write_versions(fleet, **options), 0.0)
+                calls_per_s = (len(fleet.calls) - calls) / (fleet.now_s - since_s)
+                self.assertLess(calls_per_s / len(layout), 0.5)
+
+    def test_source_becomes_slow_by_600_ms(self):
+        self.check_in_time(0.6)
+
+    def test_source_becomes_slow_by_more_than_a_second(self):
+        self.check_in_time(1.1)
+
+    def test_source_has_been_slow_by_more_than_a_second(self):
+        self.check_in_time(1.1, settle_s=10.0)
+
+    def test_source_has_been_slow_at_810_nodes(self):
+        self.check_in_time(1.1, LARGE_FLEET, settle_s=5.0, seeds=(1,))
+
+    def test_nodes_restart_while_the_source_is_slow(self):
+        def restart_two(fleet):
+            restarted = []
+            for addresses in fleet.domains.values():
+                restarted += fleet.random.sample(addresses, 2)
+            for address in restarted:
+                fleet.start(address)
+            return restarted
+
+        self.check_in_time(0.6, before_each=restart_two)
+
+    def test_slow_messages_between_nodes_add_few_calls_of_the_source(self):
+        fleet = start_fleet(FLEET, seed=1)
+        idle_calls = len(fleet.calls)
+        fleet.run(10.0)
+        idle_calls = len(fleet.calls) - idle_calls
+        fleet.message_delay_s = 0.5
+        fleet.run(10.0)
+        calls = len(fleet.calls)
+        fleet.run(10.0)
+        self.assertLess(len(fleet.calls) - calls, 1.3 * idle_calls)
+
+    def test_large_version_whose_parts_all_change(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                fleet = ReplicationFleet(FLEET, seed, size=360_000)
+                fleet.start_all(settle_s=8.0 + 0.13 * seed)
+                revision = fleet.write(changes=40)
+                fleet.run(4.0)
+                self.check_in_force(fleet, revision)
+
+
 class RecoveryTest(FleetTest):
     """Nodes and the source recover from faults."""
 
