Keep reading a slow source, and take late answers

Callers saw versions in force too late: refused with 404, or handled by an older version.

Cause: slow was taken for lost. A watch was given up 0.7 s after its wait, so none was answered; its node counted as having lost the source, those below were told so and read in its place. A poll was given up likewise. And a version that was written just after a read had been served waited for that answer and for the next one.

Change: reads of the source overlap, in the first node of a domain and only while its answers are late, so the source holds a watch nearly all the time; the answer of any read is contact. The delays of answers are smoothed, as TCP's retransmission timer does, and set how long a watch or a poll may take until it counts as late. A late poll is replaced by others but still waited for. A parent that has lost the source is polled meanwhile, as its next answer may come before that of its replacement. An overlapping read opens a connection of its own, as the late one may be dead.

Tried and left: without the read of the key after a new version a slow source is seen sooner, but a burst over narrow links no longer ends in time (27 versions, 91 nodes of 2.5 Mbit/s).

The tests of the reader take its answer as a data class; what they check is unchanged.

--- a/balsamdeal/core/effects.py
+++ b/balsamdeal/core/effects.py
@@ -24,12 +24,13 @@
     """Read a channel's key.
 
     The source may hold the read for ``wait_s`` until it has a revision newer than
-    ``after_revision``.
+    ``after_revision``. ``read_id`` tells apart the reads of a channel that overlap.
     """
 
     channel: str
     after_revision: int
     wait_s: float
+    read_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/core/events.py
+++ b/balsamdeal/core/events.py
@@ -42,22 +42,32 @@
 
 @dataclass(frozen=True, slots=True)
 class SourceAnswered:
-    """The source answered; ``document`` is None if there is no newer revision."""
+    """The source answered; ``document`` is None if there is no newer revision.
+
+    ``read_id`` is that of the ``ReadSource``. ``transfer_s`` is how long the document
+    takes over the own link if it is idle, or None if there is none or it is not known.
+    """
 
     channel: str
     revision: int
     document: Document | None
     now_s: float
+    read_id: int = 0
+    transfer_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class SourceFailed:
-    """The source could not be read, or its published data was inconsistent."""
+    """The source could not be read, or its published data was inconsistent.
+
+    ``read_id`` is that of the ``ReadSource``.
+    """
 
     channel: str
     step: str
     reason: str
     now_s: float
+    read_id: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/core/replication.py
+++ b/balsamdeal/core/replication.py
@@ -16,9 +16,11 @@
 """
 
 import math
+from collections import deque
 from dataclasses import replace
 
 from balsamdeal.core import effects, replication_messages
+from balsamdeal.core.delays import DelayEstimator
 from balsamdeal.core.membership import compute_score
 from balsamdeal.core.sources import Sources
 from balsamdeal.core.versions import Versions
@@ -43,6 +45,11 @@
 # pause after a new version and the read of a whole one over a narrow link. Each layer
 # below learns of the contact up to one poll later.
 MAX_SOURCE_AGE_S = 2.0
+# Number of reads of the source that may overlap while its answers are late.
+MAX_OPEN_READS = 4
+# A poll that is unanswered for this much longer than its wait is late, unless the
+# answers of other nodes take longer at present. Other nodes are polled then as well.
+LATE_MARGIN_S = 0.7
 # How long a good answer counts: one poll, and room for a full link.
 ANSWER_VALID_S = 1.6
 # A node that failed to answer is polled again after this pause, doubled with each
@@ -51,6 +58,9 @@
 MAX_RETRY_PAUSE_S = 8.0
 # How long a node that has lost the source is left out of the ranking.
 LOST_SOURCE_PAUSE_S = 3.0
+# Parents that have lost the source are polled again only after fewer polls of any node
+# within a second.
+MAX_POLLS_BEFORE_RETRY = 4
 # After up to this many bad answers in a row, other nodes are polled at once instead;
 # each further one adds a pause before that.
 FREE_REPLACEMENTS = 2
@@ -89,7 +99,12 @@
         self.own_node = own_node
         self.versions = Versions()
         self.sources = Sources(
-            random, 0, WATCH_WAIT_S, MAX_START_BACKOFF_S, NEW_VERSION_PAUSE_S
+            random,
+            0,
+            WATCH_WAIT_S,
+            MAX_START_BACKOFF_S,
+            NEW_VERSION_PAUSE_S,
+            MAX_OPEN_READS,
         )
         self._link_mbps = link_mbps
         self._apply = apply
@@ -104,6 +119,9 @@
         # By node address: the time and request of the open poll, when the last good
         # answer came, the failures in a row, until when the node is left out.
         self._pending_polls = {}
+        self._late_polls = set()
+        self._poll_times_s = deque(maxlen=MAX_POLLS_BEFORE_RETRY)
+        self._poll_delays = DelayEstimator()
         self._good_answers_s = {}
         self._failure_counts = {}
         self._skipped_until_s = {}
@@ -111,6 +129,7 @@
         self._bad_answer_count = 0
         self._next_replacement_s = 0.0
         self._next_retry_s = 0.0
+        self._next_lost_retry_s = 0.0
         self._next_link_exchange_s = 0.0
         # When a node last answered without a source age, as it has lost the source.
         self._loss_reported_s = -math.inf
@@ -121,8 +140,6 @@
         self._is_behind = False
         self._next_whole_read_s = 0.0
         self._next_behind_poll_s = 0.0
-        # The version in force when the current read of the source began.
-        self._read_base = NO_VERSION
 
     # Ranking and parents
 
@@ -139,6 +156,7 @@
             for address in known.keys() - self._members:
                 del known[address]
         self._self_reported &= self._members
+        self._late_polls &= self._members
         self._rank()
 
     def _rank(self):
@@ -214,7 +232,10 @@
 
     def _find_position(self, now_s):
         """Return the own layer, 0 for watchers, and the addresses of the parents."""
-        present = self._list_available(now_s)
+        return self._find_place(self._list_available(now_s))
+
+    def _find_place(self, present):
+        """Return the own layer and the parents among nodes in order of their rank."""
         index = present.index(self.own_node)
         layer, above, width = 0, [], PARENT_COUNT
         first = 0
@@ -232,11 +253,13 @@
     def tick(self, event):
         """Return the reads, polls and answers that are due."""
         now_s = event.now_s
+        self._skip_late_nodes(now_s)
         layer, parents = self._find_position(now_s)
         is_watcher = not parents or self._lacks_good_answers(now_s)
         result = self._read_source(is_watcher, now_s)
         result += self._poll_idle(self._list_polled(now_s), now_s)
         result += self._retry_failed_node(now_s)
+        result += self._retry_lost_parent(now_s)
         if not parents:
             result += self._exchange_links(now_s)
         return result + self._answer_due(layer, now_s)
@@ -289,14 +312,46 @@
         due = [
             item
             for item in self._failure_counts
-            if now_s >= self._skipped_until_s[item]
+            if now_s >= self._skipped_until_s[item] and item not in self._pending_polls
         ]
         due.sort(key=self._skipped_until_s.get)
-        if not due or due[0] in self._pending_polls:
+        if not due:
             return []
         self._next_retry_s = now_s + RETRY_PAUSE_S
         return [self._poll(due[0], now_s, 0.0)]
 
+    def _retry_lost_parent(self, now_s):
+        """Poll a parent that is left out as it has lost the source.
+
+        Its next answer of the source may bring a newer version before the nodes that
+        replace it get one.
+        """
+        if now_s < self._next_lost_retry_s or not self._may_poll(now_s):
+            return []
+        times = self._poll_times_s
+        if len(times) == times.maxlen and now_s < times[0] + 1.0:
+            return []
+        lost = [
+            item
+            for item in self._find_place(self._ranking)[1]
+            if item in self._skipped_until_s
+            and item not in self._failure_counts
+            and item not in self._pending_polls
+        ]
+        if not lost:
+            return []
+        self._next_lost_retry_s = now_s + RETRY_PAUSE_S / 2
+        return [self._poll(self._random.choice(lost), now_s, 0.0)]
+
+    def _skip_late_nodes(self, now_s):
+        """Leave out the nodes whose answers are late; these may still arrive."""
+        for address, (polled_s, request) in self._pending_polls.items():
+            margin_s = max(LATE_MARGIN_S, self._poll_delays.get_bound_s())
+            is_late = now_s > polled_s + request.wait_s + margin_s
+            if is_late and address not in self._late_polls:
+                self._late_polls.add(address)
+                self._skip_failed_node(address, now_s)
+
     def _exchange_links(self, now_s):
         """Poll a random node at intervals, as nodes that only watch get no links."""
         if now_s < self._next_link_exchange_s or self.versions.document is None:
@@ -315,10 +370,11 @@
     def _read_source(self, is_watcher, now_s):
         held = self.versions.version
         is_reader = is_watcher or self._is_behind or held == NO_VERSION
-        effect = self.sources.begin_read(CONFIG, held, is_reader, now_s)
+        # Overlapping reads may transfer a version twice, so only one node has them.
+        may_overlap = self._list_available(now_s)[0] == self.own_node
+        effect = self.sources.begin_read(CONFIG, held, is_reader, now_s, may_overlap)
         if effect is None:
             return []
-        self._read_base = held
         # No need to wait when a newer version is known to exist.
         return [replace(effect, wait_s=0.0) if self._is_behind else effect]
 
@@ -327,6 +383,7 @@
             self.versions.version, wait_s, self._select_links()
         )
         self._pending_polls[address] = (now_s, request)
+        self._poll_times_s.append(now_s)
         return replication_messages.SendPoll(address, request)
 
     def _answer_due(self, layer, now_s):
@@ -354,6 +411,9 @@
         # A peer has reported a lost source since the last known contact; whether it is
         # lost here too is unknown until this node has read it.
         is_lost = layer and age_s is not None and now_s - age_s < self._loss_reported_s
+        if age_s is not None:
+            # While the source is slow, its answers come at longer intervals.
+            age_s = max(0.0, age_s - sources.get_excess_delay_s())
         if is_failing or is_overdue or is_lost:
             return None
         return age_s
@@ -423,18 +483,24 @@
         if address not in self._pending_polls:
             return []  # the node has left the failure domain since
         polled_s, request = self._pending_polls.pop(address)
+        self._late_polls.discard(address)
         self._failure_counts.pop(address, None)
         self._merge_links(answer.links, address)
+        was_skipped = polled_s < self._skipped_until_s.get(address, -math.inf)
+        has_news = answer.delta is not None or answer.is_behind
+        if not has_news:
+            self._record_poll_delay(now_s - polled_s, request.wait_s)
         layer = self._find_position(now_s)[0]
         # An early answer without a newer version means that the source is lost: the
         # peer may place itself in a higher layer, whose bound on the age is lower.
         is_early = now_s - polled_s < request.wait_s / 2
-        is_early = is_early and answer.delta is None and not answer.is_behind
+        is_early = is_early and not has_news
         if is_early or _is_too_old(answer.source_age_s, max(0, layer - 1)):
             self._skipped_until_s[address] = now_s + LOST_SOURCE_PAUSE_S
             if answer.source_age_s is None:
                 self._loss_reported_s = now_s
-            self._record_bad_answer(address, now_s)
+            if not was_skipped:
+                self._record_bad_answer(address, now_s)
         else:
             self._skipped_until_s.pop(address, None)
             self._good_answers_s[address] = now_s
@@ -457,6 +523,11 @@
         result = self._apply_if_newer(document, address, polled_s, now_s)
         return result + self._poll_again(address, now_s)
 
+    def _record_poll_delay(self, took_s, wait_s):
+        """Record the delay of an answer that came after the whole wait."""
+        if took_s >= wait_s:
+            self._poll_delays.record(took_s - wait_s)
+
     def _poll_again(self, address, now_s):
         """Poll the node again at once, so that no version waits for the next tick."""
         if address not in self._list_polled(now_s):
@@ -475,13 +546,19 @@
         address = event.address
         if self._pending_polls.pop(address, None) is None:
             return []  # the node has left the failure domain since
+        if address in self._late_polls:
+            self._late_polls.discard(address)
+        else:
+            self._skip_failed_node(address, event.now_s)
+        return self._poll_idle(self._list_polled(event.now_s), event.now_s)
+
+    def _skip_failed_node(self, address, now_s):
         count = self._failure_counts.get(address, 0)
         self._failure_counts[address] = count + 1
         pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2**count)
-        self._skipped_until_s[address] = event.now_s + pause_s
+        self._skipped_until_s[address] = now_s + pause_s
         if not count:
-            self._record_bad_answer(address, event.now_s)
-        return self._poll_idle(self._list_polled(event.now_s), event.now_s)
+            self._record_bad_answer(address, now_s)
 
     def _record_bad_answer(self, address, now_s):
         """Have other nodes polled instead, but not the whole domain at once."""
@@ -494,10 +571,10 @@
 
     def handle_source_answer(self, event):
         """Put the version of the source in force if it is newer."""
-        read_s = self.sources.states[CONFIG].read_s
         # Compared with the version at the beginning of the read: other nodes may have
         # sent newer ones since.
-        current, result = self.sources.handle_answer(event, self._read_base)
+        read = self.sources.get_open_read(CONFIG, event.read_id)
+        current, result = self.sources.handle_answer(event, read.base)
         if not current:
             return result
         if self._is_behind and event.document is None:
@@ -506,7 +583,7 @@
         self._is_behind = False
         if event.document is not None:
             result += self._apply_if_newer(
-                event.document, "source", read_s, event.now_s
+                event.document, "source", read.begun_s, event.now_s
             )
         return result
 
--- a/balsamdeal/core/sources.py
+++ b/balsamdeal/core/sources.py
@@ -4,10 +4,12 @@
 source at random times, and only when no known node seems to be in contact with it.
 """
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from balsamdeal.core import effects
-from balsamdeal.documents import CHANNELS, NO_VERSION
+from balsamdeal.core.delays import DelayEstimator
+from balsamdeal.documents import CHANNELS, NO_VERSION, Version
 
 WATCH_WAIT_S = 2.0
 # First reads of a starting fleet are spread so that this many nodes begin per second.
@@ -22,20 +24,39 @@
 BACKOFF_MAX_S = 3.0
 STALE_PAUSE_S = 1.0
 EMPTY_PAUSE_S = 1.0
-# A whole version may take this many times as long as the last one did.
+# A whole version may take this many times as long as on an idle link.
 TRANSFER_FACTOR = 1.2
+# A read that is unanswered for this much longer than its wait is slow or lost. Where
+# reads may overlap, the next one begins then.
+OVERLAP_MARGIN_S = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class OpenRead:
+    """A read without an answer so far.
+
+    ``base`` is the version held when it began, and ``seen_revision`` the newest that
+    the source had answered. ``is_pure_watch``: no read of a whole version can precede
+    its wait.
+    """
+
+    begun_s: float
+    base: Version
+    seen_revision: int
+    is_pure_watch: bool
 
 
 @dataclass(slots=True)
 class SourceState:
     """State of the reads of one channel; times are the loop's, in seconds.
 
-    ``transfer_s`` is how long the last whole version took. ``state`` is unread,
+    ``open_reads`` are by read id. ``transfer_s`` is how long a whole version takes over
+    the own link, and ``answered_s`` when the source last answered. ``state`` is unread,
     current, stale or failing, and ``reason`` says why.
     """
 
-    pending: bool = False
-    read_s: float = 0.0
+    open_reads: dict[int, OpenRead] = field(default_factory=dict)
+    answered_s: float = -math.inf
     next_read_s: float = 0.0
     failures: int = 0
     seen_revision: int = 0
@@ -56,6 +77,8 @@
         half of it passes.
     :param new_version_pause_s: the pause after a new version, in seconds, so that a
         burst of versions takes few reads.
+    :param max_open_reads: how many reads of a channel may overlap. While the source is
+        slow, versions written between two reads would wait for both otherwise.
     """
 
     def __init__(
@@ -65,12 +88,15 @@
         watch_wait_s=WATCH_WAIT_S,
         backoff_max_s=BACKOFF_MAX_S,
         new_version_pause_s=0.0,
+        max_open_reads=1,
     ):
         self._random = random
         self._start_spread_s = fleet_size / STARTS_PER_S
         self._watch_wait_s = watch_wait_s
         self._backoff_max_s = backoff_max_s
         self._new_version_pause_s = new_version_pause_s
+        self._max_open_reads = max_open_reads
+        self._delays = DelayEstimator()
         self._contact_s = None
         self.states = {channel: SourceState() for channel in CHANNELS}
 
@@ -104,24 +130,30 @@
         return self.states[channel].failures > 0
 
     def is_overdue(self, channel, margin_s, now_s):
-        """Return whether the current read of a channel is overdue.
+        """Return whether an answer for a channel is overdue.
 
-        Unless the read before it ended with an empty answer, it may transfer a whole
-        version first, which takes about as long as the last one did; half of the margin
-        is added then.
+        Unless the read before it ended with an empty answer, a read may transfer a
+        whole version first; half of the margin is added then.
 
         :param channel: the channel.
-        :param margin_s: how much longer than its wait a watch may take, in seconds.
+        :param margin_s: how much longer than its wait a watch may take, in seconds; or
+            longer, if the source's answers take longer at present.
         :param now_s: the loop's time in seconds.
         """
         state = self.states[channel]
-        if not state.pending or state.transfer_s is None:
+        if not state.open_reads or state.transfer_s is None:
             return False
-        deadline_s = state.read_s + self._watch_wait_s + margin_s
+        oldest_s = min(read.begun_s for read in state.open_reads.values())
+        margin_s = max(margin_s, self._delays.get_bound_s())
+        deadline_s = max(oldest_s, state.answered_s) + self._watch_wait_s + margin_s
         if not state.is_after_empty:
             deadline_s += TRANSFER_FACTOR * state.transfer_s - margin_s / 2
         return now_s > deadline_s
 
+    def get_excess_delay_s(self):
+        """Return how much longer than usual answers take at present, in seconds."""
+        return max(0.0, self._delays.get_bound_s() - OVERLAP_MARGIN_S)
+
     def get_contact_age_s(self, now_s):
         """Return the seconds since a known node was in contact with the source.
 
@@ -129,7 +161,7 @@
         """
         return None if self._contact_s is None else max(0.0, now_s - self._contact_s)
 
-    def begin_read(self, channel, version, is_reader, now_s):
+    def begin_read(self, channel, version, is_reader, now_s, may_overlap=False):
         """Return the ``ReadSource`` that is due, or None.
 
         :param channel: the channel.
@@ -137,18 +169,35 @@
         :param is_reader: whether this node is to read the source without a probe's
             conditions, as a watcher or one that needs a whole version.
         :param now_s: the loop's time in seconds.
+        :param may_overlap: whether the read may begin while earlier ones are late.
         """
         state = self.states[channel]
-        if state.pending or now_s < state.next_read_s:
+        if now_s < state.next_read_s:
+            return None
+        if state.open_reads and not (may_overlap and self._are_late(state, now_s)):
             return None
         if not is_reader and not self._needs_probe(state, now_s):
             return None
-        state.pending = True
-        state.read_s = now_s
+        read_id = next(
+            number
+            for number in range(self._max_open_reads)
+            if number not in state.open_reads
+        )
+        state.open_reads[read_id] = OpenRead(
+            now_s, version, state.seen_revision, state.is_after_empty
+        )
         if not is_reader or version == NO_VERSION:
-            return effects.ReadSource(channel, 0, 0.0)
+            return effects.ReadSource(channel, 0, 0.0, read_id)
         after = max(version.revision, state.seen_revision)
-        return effects.ReadSource(channel, after, self._watch_wait_s)
+        return effects.ReadSource(channel, after, self._watch_wait_s, read_id)
+
+    def _are_late(self, state, now_s):
+        """Return whether all open reads are late, and another one may begin."""
+        if len(state.open_reads) >= self._max_open_reads:
+            return False
+        latest_s = max(read.begun_s for read in state.open_reads.values())
+        margin_s = OVERLAP_MARGIN_S + TRANSFER_FACTOR * (state.transfer_s or 0.0)
+        return now_s > latest_s + self._watch_wait_s + margin_s
 
     def _needs_probe(self, state, now_s):
         """Return whether to probe the source, as no node seems in contact with it.
@@ -164,6 +213,13 @@
             return False
         return True
 
+    def get_open_read(self, channel, read_id):
+        """Return an ``OpenRead``.
+
+        :raises KeyError: if no read with this id is open.
+        """
+        return self.states[channel].open_reads[read_id]
+
     def handle_answer(self, event, version):
         """Return whether the answer is current, and its effects; plan the next read.
 
@@ -171,27 +227,43 @@
         :param version: the version that the answer must not be older than.
         """
         state = self.states[event.channel]
-        state.pending = False
+        read = self._close_read(state, event)
+        took_s = event.now_s - read.begun_s
+        state.answered_s = event.now_s
         state.failures = 0
-        if event.document is not None and not state.is_after_empty:
-            state.transfer_s = event.now_s - state.read_s
+        if event.transfer_s is not None:
+            state.transfer_s = event.transfer_s
         state.is_after_empty = event.document is None
+        self._record_delay(event, read, took_s)
         state.next_read_s = event.now_s
         if event.document is not None:
-            state.next_read_s += self._new_version_pause_s
+            # A slow answer has taken part of the pause already.
+            pause_s = self._new_version_pause_s - self.get_excess_delay_s()
+            state.next_read_s += max(0.0, pause_s)
         min_wait_s = min(EMPTY_PAUSE_S, self._watch_wait_s)
-        if event.document is None and event.now_s - state.read_s < min_wait_s:
+        if event.document is None and took_s < min_wait_s:
             # Watches that end early and empty must not become a busy loop.
             state.next_read_s = event.now_s + EMPTY_PAUSE_S
-        if event.revision < max(version.revision, state.seen_revision):
+        if event.revision < max(version.revision, read.seen_revision):
             # A stale replica or a restored backup: never go back to an older version.
             state.next_read_s = event.now_s + STALE_PAUSE_S * self._random.uniform(1, 2)
             reason = f"revision {event.revision} is older than {version.revision}"
             return False, self._set_state(state, event.channel, "stale", reason)
-        state.seen_revision = event.revision
+        state.seen_revision = max(event.revision, state.seen_revision)
         self.record_contact(event.now_s)
         return True, self._set_state(state, event.channel, "current", "")
 
+    @staticmethod
+    def _close_read(state, event):
+        """Return the open read that an event ends."""
+        unknown = OpenRead(event.now_s, NO_VERSION, state.seen_revision, False)
+        return state.open_reads.pop(event.read_id, unknown)
+
+    def _record_delay(self, event, read, took_s):
+        """Record how long the source took, if that can be told from its wait."""
+        if event.document is None and read.is_pure_watch:
+            self._delays.record(max(0.0, took_s - self._watch_wait_s))
+
     def handle_failure(self, event, starting):
         """Return the effects of a failed read, and plan the next one.
 
@@ -199,7 +271,10 @@
         :param starting: whether many nodes may be starting at the same time.
         """
         state = self.states[event.channel]
-        state.pending = False
+        read = self._close_read(state, event)
+        if state.answered_s > read.begun_s:
+            # A single answer was lost: the source has answered another read since.
+            return []
         state.failures += 1
         state.is_after_empty = False
         max_pause_s = min(
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -1,6 +1,7 @@
 """I/O of ``core.replication``: polls to and from other nodes, reads of the source."""
 
 import logging
+from dataclasses import dataclass
 
 from tornado.httputil import HTTPHeaders
 
@@ -17,9 +18,23 @@
 POLL_PATH = "/news"
 MAX_NEWS_BYTES = 4_000_000
 TICK_S = 0.1
-# An answer may take this much longer than its poll's ``wait_s``, as links may be
-# busy.
-ANSWER_MARGIN_S = 0.7
+# An answer may take this much longer than its poll's ``wait_s``: a late one may still
+# bring a newer version.
+ANSWER_MARGIN_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationUpdate:
+    """What the source answered about configurations.
+
+    ``version`` is the newest version's number. ``configuration`` is it if it is newer
+    than the one held, or None. ``transfer_s`` is how long it takes over the own link if
+    that is idle, or None without a configuration.
+    """
+
+    version: int
+    configuration: object
+    transfer_s: float | None
 
 
 class ConfigReplicator:
@@ -48,8 +63,7 @@
         """Start to read the source and to poll the other nodes.
 
         :param read: a coroutine function of the version held and the time to wait in
-            seconds; it returns the newest version's number, and a ``Configuration`` or
-            None.
+            seconds; it returns a ``ConfigurationUpdate``.
         """
         self._read = read
         self._tick()
@@ -86,27 +100,34 @@
     async def _fetch_configuration(self, effect):
         shell = self._shell
         try:
-            version, configuration = await self._read(
-                effect.after_revision, effect.wait_s
-            )
+            update = await self._read(effect.after_revision, effect.wait_s)
             document = None
-            if configuration is not None:
-                document = shell.proxy.make_document(configuration)
+            if update.configuration is not None:
+                document = shell.proxy.make_document(update.configuration)
         except SourceError as error:
-            self._report_read_failure(error.step, error.message)
+            self._report_read_failure(effect, error.step, error.message)
             return
         except Exception as error:
             # Without an event the core would never read the source again.
             logger.exception("read of the source failed")
-            self._report_read_failure("read", repr(error))
+            self._report_read_failure(effect, "read", repr(error))
             return
-        now_s = shell.loop.time()
-        shell.handle(events.SourceAnswered(CONFIG, version, document, now_s))
+        shell.handle(
+            events.SourceAnswered(
+                CONFIG,
+                update.version,
+                document,
+                shell.loop.time(),
+                effect.read_id,
+                update.transfer_s,
+            )
+        )
 
-    def _report_read_failure(self, step, reason):
+    def _report_read_failure(self, effect, step, reason):
         shell = self._shell
         shell.metrics.count("source_failures")
-        shell.handle(events.SourceFailed(CONFIG, step, reason, shell.loop.time()))
+        now_s = shell.loop.time()
+        shell.handle(events.SourceFailed(CONFIG, step, reason, now_s, effect.read_id))
 
     # Other nodes
 
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -16,6 +16,7 @@
 )
 from balsamdeal.net.connections import ConnectionPool
 from balsamdeal.net.feed import TargetUpdate
+from balsamdeal.net.following import ConfigurationUpdate
 from balsamdeal.platform.messages import (
     ItemMessage,
     decode_configuration,
@@ -32,8 +33,10 @@
 # Timeout of calls that do not wait for a change. The store usually answers within
 # milliseconds; slow answers of up to a second are still useful.
 READ_TIMEOUT_S = 2.0
-# Added to a watch's wait to get the timeout of the call.
+# Added to a watch's wait to get the timeout of the call: of a watch of targets, and of
+# one of the configuration, which another may overlap.
 WATCH_MARGIN_S = 0.7
+CONFIGURATION_WATCH_MARGIN_S = 1.4
 # Allowance for a whole version, as a multiple of its transfer time on an idle link.
 TRANSFER_FACTOR = 2.0
 MAX_RESPONSE_BYTES = 16_000_000
@@ -55,18 +58,21 @@
         self._last_revision = None
         self._last_version = 0
         self._needs_read = True
-        self._transfer_allowance_s = 0.0
+        self._transfer_s = 0.0
+        self._call_count = 0
+        self._open_calls = set()
+        self._last_call = 0
 
     def drop_connections(self):
         """Close idle connections to the store."""
         self._pool.drop_idle(self._address)
 
     async def read_configuration(self, after, wait_s):
-        """Return the newest version's number, and its ``Configuration`` if newer.
+        """Return a ``ConfigurationUpdate`` with the newest version if it is newer.
 
         A watch returns every version written since its start revision. After a new
         version the key is read instead, which returns the newest version alone, until
-        a read finds no change.
+        a read finds no change. Several reads may be open at a time.
 
         :param after: the version held; it is returned if there is no newer one.
         :param wait_s: how long to wait for a newer version, in seconds; 0 to read the
@@ -80,60 +86,89 @@
             if not (wait_s and is_current):
                 found = await self._read_newest(after)
                 if found is not None or not wait_s:
-                    return self._make_result(found, after)
-            return self._make_result(
+                    return self._make_update(found, after)
+            return self._make_update(
                 await self._watch_configuration(after, wait_s), after
             )
         except HistoryLostError as error:
             logger.info("source lost its history", extra={"reason": str(error)})
-            return self._make_result(await self._read_newest(after), after)
+            return self._make_update(await self._read_newest(after), after)
         except SourceError:
             # Many versions may be written before the next call.
             self._needs_read = True
             raise
 
-    def _make_result(self, configuration, after):
+    def _make_update(self, configuration, after):
         if configuration is None:
-            return max(after, self._last_version), None
-        return configuration.version, configuration
+            return ConfigurationUpdate(max(after, self._last_version), None, None)
+        return ConfigurationUpdate(
+            configuration.version, configuration, self._transfer_s
+        )
+
+    async def _get_configuration(self, call, query, timeout_s):
+        """Return the JSON object in a response, or None, and whether it is the latest.
+
+        It is not if a response to a later call has been processed.
+        """
+        self._call_count += 1
+        number = self._call_count
+        # The connections of calls that are late may be dead, idle ones too.
+        has_open = bool(self._open_calls)
+        self._open_calls.add(number)
+        timeout_s += TRANSFER_FACTOR * self._transfer_s
+        try:
+            body = await self._get(call, query, timeout_s, new_connection=has_open)
+        finally:
+            self._open_calls.discard(number)
+        is_latest = number > self._last_call
+        self._last_call = max(number, self._last_call)
+        return body, is_latest
 
     async def _read_newest(self, after):
-        timeout_s = READ_TIMEOUT_S + self._transfer_allowance_s
-        body = await self._get("kv-key", {"key": CONFIGURATION_KEY}, timeout_s)
+        body, is_latest = await self._get_configuration(
+            "kv-key", {"key": CONFIGURATION_KEY}, READ_TIMEOUT_S
+        )
         if body is None:
             return None
         revision = self._get_revision(body)
-        configuration = self._process_item(self._parse_item(body), after)
-        self._watch_revision = revision
-        return configuration
+        item = self._parse_item(body)
+        return self._process_item(item, revision, after, is_latest)
 
     async def _watch_configuration(self, after, wait_s):
-        items, revision = await self._watch(
-            OPERATOR_PREFIX, self._watch_revision, wait_s, self._transfer_allowance_s
-        )
+        query = self._make_watch_query(OPERATOR_PREFIX, self._watch_revision, wait_s)
+        timeout_s = wait_s + CONFIGURATION_WATCH_MARGIN_S
+        body, is_latest = await self._get_configuration("kv-watch", query, timeout_s)
+        items, revision = self._parse_events(body)
         candidates = [
             item for item in items if item.key == CONFIGURATION_KEY and not item.deleted
         ]
         newest = max(candidates, key=lambda item: item.revision, default=None)
-        configuration = self._process_item(newest, after)
-        self._watch_revision = revision
-        return configuration
+        return self._process_item(newest, revision, after, is_latest)
 
-    def _process_item(self, item, after):
+    def _process_item(self, item, revision, after, is_latest):
         """Return the configuration in an item if it is newer than ``after``.
 
         An item whose revision has been processed before is not decoded again. A newer
         configuration makes the next call read the key, except after the first item.
+
+        :param item: the item, or None.
+        :param revision: the store's revision; the next watch begins after it.
+        :param is_latest: whether no answer to a later call has been processed. An
+            answer that was overtaken by one as new changes nothing.
         """
+        known = self._last_revision or 0
+        if not is_latest and (item is None or item.revision <= known):
+            return None
         is_first = self._last_revision is None
         self._needs_read = False
+        if is_latest:
+            self._watch_revision = revision
         if item is None or item.revision == self._last_revision:
             return None
         self._last_revision = item.revision
         link_mbps = self._shell.settings.link_mbps
         if link_mbps:
-            size = len(item.value)
-            self._transfer_allowance_s = TRANSFER_FACTOR * size * 8 / (link_mbps * 1e6)
+            self._transfer_s = len(item.value) * 8 / (link_mbps * 1e6)
         configuration = self._decode_configuration(item)
         if configuration is None:
             return None
@@ -181,36 +216,31 @@
         :raises HistoryLostError: when the store no longer has these changes.
         :raises SourceError: when the store cannot be read.
         """
-        items, revision = await self._watch(SERVERS_PREFIX, after, wait_s)
+        query = self._make_watch_query(SERVERS_PREFIX, after, wait_s)
+        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
+        items, revision = self._parse_events(body)
         changes = []
         for item in items:
             target = None if item.deleted else self._decode_target(item)
             changes.append((item.key, target, item.revision))
         return TargetUpdate(None, changes, revision)
 
-    async def _watch(self, prefix, after, wait_s, transfer_allowance_s=0.0):
-        """Return the items written since a revision, and the store's revision.
+    @staticmethod
+    def _make_watch_query(prefix, after, wait_s):
+        return {"path-prefix": prefix, "after": after, "wait-ms": int(wait_s * 1000)}
 
-        :param transfer_allowance_s: time for the transfer, beyond ``WATCH_MARGIN_S``.
-        """
-        query = {
-            "path-prefix": prefix,
-            "after": after,
-            "wait-ms": int(wait_s * 1000),
-        }
-        timeout_s = wait_s + WATCH_MARGIN_S + transfer_allowance_s
-        body = await self._get("kv-watch", query, timeout_s)
+    def _parse_events(self, body):
+        """Return the items in the answer to a watch, and the store's revision."""
         if body is None:
             raise SourceError("watch answered with status 404", "answer", self._address)
-        revision = self._get_revision(body)
         items = [self._parse_item(item) for item in body.get("events", ())]
-        return [item for item in items if item is not None], revision
+        return [item for item in items if item is not None], self._get_revision(body)
 
     @property
     def _address(self):
         return self._shell.settings.source_address
 
-    async def _get(self, call, query, timeout_s=READ_TIMEOUT_S):
+    async def _get(self, call, query, timeout_s=READ_TIMEOUT_S, new_connection=False):
         """Return the JSON object in a response, or None for status 404."""
         started_s = time.monotonic()
         try:
@@ -220,6 +250,7 @@
                 f"/api/{call}?{urlencode(query)}",
                 HTTPHeaders(),
                 timeout_s=timeout_s,
+                new_connection=new_connection,
             )
         except ExchangeError as error:
             raise SourceError(error.message, error.step, error.peer) from error
--- a/tests/core/replication_fleet.py
+++ b/tests/core/replication_fleet.py
@@ -18,9 +18,9 @@
 from balsamdeal.errors import ContentError
 from balsamdeal.net.following import ANSWER_MARGIN_S, TICK_S
 from balsamdeal.platform.store import (
+    CONFIGURATION_WATCH_MARGIN_S,
     READ_TIMEOUT_S,
     TRANSFER_FACTOR,
-    WATCH_MARGIN_S,
 )
 
 THIN_MBPS = 2.5
@@ -518,17 +518,27 @@
 
         def fail(step):
             reader.unsettled = True
-            event = events.SourceFailed(CONFIG, step, "no answer", self.now_s)
+            event = events.SourceFailed(
+                CONFIG, step, "no answer", self.now_s, effect.read_id
+            )
             self._reduce(node, event)
 
         def report_answer(document):
-            revision = after if document is None else document.version.revision
-            event = events.SourceAnswered(CONFIG, revision, document, self.now_s)
+            known = max(after, reader.taken_version or 0)
+            revision = known if document is None else document.version.revision
+            event = events.SourceAnswered(
+                CONFIG,
+                revision,
+                document,
+                self.now_s,
+                effect.read_id,
+                None if document is None else reader.transfer_s / TRANSFER_FACTOR,
+            )
             self._reduce(node, event)
 
         def take_key(items, revision):
             document = self._take_items(node, items, after)
-            reader.revision = revision
+            reader.revision = max(revision, reader.revision or 0)
             if document is not None or not wait_s:
                 report_answer(document)
             else:
@@ -536,14 +546,14 @@
 
         def take_watch(items, revision):
             document = self._take_items(node, items, after)
-            reader.revision = revision
+            reader.revision = max(revision, reader.revision or 0)
             report_answer(document)
 
         def watch():
             prior_revision = reader.revision
             self._call_source(
                 node,
-                wait_s + WATCH_MARGIN_S + reader.transfer_s,
+                wait_s + CONFIGURATION_WATCH_MARGIN_S + reader.transfer_s,
                 lambda exchange: self._serve_watch(exchange, prior_revision, wait_s),
                 take_watch,
                 fail,
@@ -564,11 +574,11 @@
     def _take_items(self, node, items, after):
         """Return the newest document if it is newer than ``after``."""
         reader = node.reader
-        is_first = reader.taken_revision is None
         reader.unsettled = False
-        if not items or items[-1].revision == reader.taken_revision:
+        if not items or items[-1].revision <= (reader.taken_revision or 0):
             return None
         item = items[-1]
+        is_first = reader.taken_revision is None
         reader.taken_revision = item.revision
         reader.transfer_s = TRANSFER_FACTOR * item.size * 8 / (node.mbps * 1e6)
         if item.document is None:
--- a/tests/net/test_following.py
+++ b/tests/net/test_following.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from balsamdeal.net.following import ConfigurationUpdate
 from balsamdeal.net.proxying import ProxyShell
 from tests.core.test_routes import make_configuration, make_route
 from tests.net.test_proxying import NAMES, make_settings
@@ -19,11 +20,11 @@
     async def read(self, after, wait_s):
         if not self.answers:
             await asyncio.sleep(wait_s or 0.01)
-            return after, None
+            return ConfigurationUpdate(after, None, None)
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
-        return answer.version, answer
+        return ConfigurationUpdate(answer.version, answer, None)
 
     async def wait_for_version(self, version):
         end_s = asyncio.get_running_loop().time() + 5.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -40,8 +40,8 @@
 
     async def read_configuration(self, after, wait_s=0.05):
         """Return the version read, and the version of its configuration if any."""
-        version, configuration = await self.reader.read_configuration(after, wait_s)
-        return version, configuration and configuration.version
+        update = await self.reader.read_configuration(after, wait_s)
+        return update.version, update.configuration and update.configuration.version
 
     async def test_configuration(self):
         self.put_configuration(3)
