Do not take an answer without a length for whole when its exchange is cancelled

An answer without a length ends when its connection closes. When the exchange timed out, this side closed the connection, and the part read so far was returned as the whole answer. Found by a test of servers that send bytes without end: the exchange returned 64 MB as an answer after its timeout. The new test failed before (no error raised).

--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -296,7 +296,9 @@
         except (StreamClosedError, OSError, ValueError) as error:
             stream.close()
             raise ExchangeError(str(error), exchange.step, address, True) from error
-        if not collector.finished or not self._is_complete(collector, method, stream):
+        if not collector.finished or not self._is_complete(
+            collector, method, stream, exchange
+        ):
             stream.close()
             raise ExchangeError("incomplete answer", exchange.step, address, True)
         answer = b"".join(collector.chunks)
@@ -315,17 +317,20 @@
             return False
         return not matches_request(collector.start_line.code, collector.headers)
 
-    def _is_complete(self, collector, method, stream):
+    def _is_complete(self, collector, method, stream, exchange):
         """Return whether an answer is complete.
 
-        One that ends only when its connection closes may be truncated.
+        One that ends only when its connection closes may be truncated, and is if this
+        side closed it.
         """
         if method == "HEAD" or collector.start_line.code in (204, 304):
             return True
         headers = collector.headers
         if "Content-Length" in headers or "Transfer-Encoding" in headers:
             return True
-        return self._allow_unframed and stream.closed() and stream.error is None
+        if not self._allow_unframed or exchange.cancelled:
+            return False
+        return stream.closed() and stream.error is None
 
     def _keep_idle(self, address, stream, headers):
         # After unsolicited bytes, or an answer that came before the whole request was
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -59,6 +59,16 @@
             self.assertEqual((await self.fetch()).body, b"whole")
         self.assertEqual(self.connections, 1)
 
+    # Guards against a part of an answer that is passed on as whole: the exchange had
+    # timed out, and the close by this side looked like the end of the answer.
+    async def test_unframed_answer_that_times_out_is_an_error(self):
+        pool = ConnectionPool(1000, allow_unframed=True)
+        self.addCleanup(pool.close)
+        self.answers = [UNFRAMED + b" yet"]
+        with self.assertRaises(ExchangeError) as caught:
+            await pool.fetch(self.address, "GET", "/", HTTPHeaders(), timeout_s=0.2)
+        self.assertEqual(caught.exception.step, "timeout")
+
     async def test_truncated_or_unframed_answer_is_an_error(self):
         for answer in (TRUNCATED, UNFRAMED):
             self.answers = [answer]
