Bound the memory that answers of a target may take

A server in trouble may send bytes without end. Heads were bounded before; a body was read up to 64 MiB, on each connection of a target with up to 20 slots, beside a second copy. Nodes have 128 MB on the smallest VMs, and the platform kills one that exceeds.

An answer may now have 8 MiB and all unfinished answers 24 MiB together; beyond that the longest one fails, so that those of sound runs still arrive. What a target sends unasked on an idle connection is bounded by the stream's buffer, now 256 KiB instead of 100 MB.

Before: an endless body was read to its last byte (64 MB sent) or to the timeout in three of seven forms, and in 12 slots at once. After: each fails below 32 MB, and 12 at once take less than 64 MB of traced memory.

--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -33,6 +33,9 @@
 # Answers to other requests that an exchange skips before it fails.
 MAX_UNRELATED_ANSWERS = 3
 HEADER_OVERHEAD_BYTES = 4  # ": " and CRLF around a header
+# Received bytes that a connection holds before they are read: a head, or what a peer
+# sends unasked while the connection is idle.
+MAX_UNREAD_BYTES = 262_144
 
 
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
@@ -86,14 +89,42 @@
         return self._read_buffer_size > 0
 
 
+class _Buffers:
+    """Bounds the bytes of all unfinished responses of a pool.
+
+    A peer in trouble may send a body without end, on many connections. Beyond the bound
+    the response that holds the most bytes fails, so that short ones still arrive.
+
+    :param max_bytes: the bound, or None if there is none.
+    """
+
+    def __init__(self, max_bytes):
+        self._max_bytes = max_bytes
+        self._sizes = {}
+
+    def add(self, exchange, size):
+        """Count received bytes; cancel the exchange with the most if they exceed."""
+        self._sizes[exchange] = self._sizes.get(exchange, 0) + size
+        if self._max_bytes is not None and sum(self._sizes.values()) > self._max_bytes:
+            largest = max(self._sizes, key=self._sizes.get)
+            del self._sizes[largest]
+            largest.cancel()
+
+    def release(self, exchange):
+        """Forget the bytes of an exchange, as it has ended."""
+        self._sizes.pop(exchange, None)
+
+
 class _Collector(HTTPMessageDelegate):
     """Collects one response; ``finished`` is set once its whole body has arrived."""
 
-    def __init__(self):
+    def __init__(self, exchange, buffers):
         self.start_line = None
         self.headers = None
         self.chunks = []
         self.finished = False
+        self._exchange = exchange
+        self._buffers = buffers
 
     def headers_received(self, start_line, headers):
         self.start_line = start_line
@@ -101,6 +132,7 @@
 
     def data_received(self, chunk):
         self.chunks.append(chunk)
+        self._buffers.add(self._exchange, len(chunk))
 
     def finish(self):
         self.finished = True
@@ -148,6 +180,8 @@
         connection closes, counts as complete unless the connection was reset.
     :param non_idempotent_idle_s: how long a connection may have been idle, in
         seconds, to carry a request that is not idempotent.
+    :param max_total_bytes: how many bytes the bodies of all unfinished responses may
+        have together, or None if only ``max_body_bytes`` bounds each.
     """
 
     def __init__(
@@ -155,8 +189,10 @@
         max_body_bytes,
         allow_unframed=False,
         non_idempotent_idle_s=NON_IDEMPOTENT_IDLE_MAX_S,
+        max_total_bytes=None,
     ):
         self._idle = {}
+        self._buffers = _Buffers(max_total_bytes)
         self._allow_unframed = allow_unframed
         self._non_idempotent_idle_s = non_idempotent_idle_s
         self._parameters = HTTP1ConnectionParameters(
@@ -245,7 +281,10 @@
 
     async def _connect(self, address, timeout_s, exchange):
         host, _, port = address.rpartition(":")
-        stream = Stream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        stream = Stream(
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+            max_buffer_size=MAX_UNREAD_BYTES,
+        )
         enable_dead_peer_detection(stream.socket)
         exchange.stream = stream
         connect_timer = self._loop.call_later(
@@ -275,7 +314,7 @@
         if body or method not in ("GET", "HEAD"):
             headers["Content-Length"] = str(len(body))
         connection = HTTP1Connection(stream, True, self._parameters)
-        collector = _Collector()
+        collector = _Collector(exchange, self._buffers)
         try:
             line = RequestStartLine(method, path, "HTTP/1.1")
             connection.write_headers(line, headers, body or None)
@@ -288,7 +327,7 @@
                 unrelated += 1
                 if unrelated > MAX_UNRELATED_ANSWERS:
                     raise ValueError("answers belong to other requests")
-                collector = _Collector()
+                collector = _Collector(exchange, self._buffers)
                 connection = HTTP1Connection(stream, True, self._parameters)
                 # Nothing more is written, but tornado waits until that is declared.
                 connection.finish()
@@ -296,6 +335,8 @@
         except (StreamClosedError, OSError, ValueError) as error:
             stream.close()
             raise ExchangeError(str(error), exchange.step, address, True) from error
+        finally:
+            self._buffers.release(exchange)
         if not collector.finished or not self._is_complete(
             collector, method, stream, exchange
         ):
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -51,6 +51,10 @@
 # Largest header block that is read; one above the configured limit is answered with
 # 431.
 MAX_HEADER_BYTES = 262_144
+# Of a target's answer, and of all its unfinished answers: a third of what small VMs
+# (128 MB) have left beside a node's own 45 MB. An answer is copied once it is whole.
+MAX_ANSWER_BYTES = 8_388_608
+MAX_ANSWERS_BYTES = 25_165_824
 # Idle connections are kept this much longer than the limit, so that a request that is
 # in transit at the limit still arrives.
 IDLE_TIMEOUT_MARGIN_S = 1.0
@@ -103,7 +107,7 @@
         limits = Limits()
         self.peer_pool = ConnectionPool(limits.body_bytes + MAX_HEADER_BYTES)
         self.target_pool = ConnectionPool(
-            limits.body_bytes, True, NON_IDEMPOTENT_IDLE_S
+            MAX_ANSWER_BYTES, True, NON_IDEMPOTENT_IDLE_S, MAX_ANSWERS_BYTES
         )
         self.stopping = False
         self.control = Control(self)
