Let watches of targets wait for a slow source

While the source takes a second for each answer, no watch was ever answered; each node listed all targets every few seconds and saw no change in between. Now the watch waits longer by what the last answer took. The new test failed before, with step=timeout. A lost answer is noticed as soon as before, if the answer before it was fast.

Also a test that an answer which a later one has overtaken changes nothing.

--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -33,8 +33,8 @@
 # Timeout of calls that do not wait for a change. The store usually answers within
 # milliseconds; slow answers of up to a second are still useful.
 READ_TIMEOUT_S = 2.0
-# Added to a watch's wait to get the timeout of the call: of a watch of targets, and of
-# one of the configuration, which another may overlap.
+# Added to a watch's wait to get the timeout of the call: of a watch of targets, beside
+# what the last answer took, and of one of the configuration, which another may overlap.
 WATCH_MARGIN_S = 0.7
 CONFIGURATION_WATCH_MARGIN_S = 1.4
 # Allowance for a whole version, as a multiple of its transfer time on an idle link.
@@ -62,6 +62,7 @@
         self._call_count = 0
         self._open_calls = set()
         self._last_call = 0
+        self._target_delay_s = 0.0
 
     def drop_connections(self):
         """Close idle connections to the store."""
@@ -191,7 +192,9 @@
         revision = None
         query = {"path-prefix": SERVERS_PREFIX}
         while True:
+            started_s = time.monotonic()
             body = await self._get("kv-range", query)
+            self._target_delay_s = time.monotonic() - started_s
             if body is None:
                 raise SourceError(
                     "list call answered with status 404", "answer", self._address
@@ -217,8 +220,12 @@
         :raises SourceError: when the store cannot be read.
         """
         query = self._make_watch_query(SERVERS_PREFIX, after, wait_s)
-        body = await self._get("kv-watch", query, wait_s + WATCH_MARGIN_S)
+        margin_s = WATCH_MARGIN_S + self._target_delay_s
+        started_s = time.monotonic()
+        body = await self._get("kv-watch", query, wait_s + margin_s)
         items, revision = self._parse_events(body)
+        if not items:
+            self._target_delay_s = max(0.0, time.monotonic() - started_s - wait_s)
         changes = []
         for item in items:
             target = None if item.deleted else self._decode_target(item)
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,7 +14,7 @@
 
 
 class Store:
-    """Keys with revisions; ``fault`` applies to all calls.
+    """Keys with revisions; ``fault`` and ``delay_s`` apply to all calls.
 
     ``fault`` is None, a status to respond with, ``"reset"`` (connections are closed)
     or ``"silent"`` (calls get no response). ``calls`` counts the calls received.
@@ -26,6 +26,7 @@
         self.revision = 10
         self.compacted_at = 0
         self.fault = None
+        self.delay_s = 0.0
         self.calls = 0
         self.address = None
         self._waiting = []
@@ -148,7 +149,9 @@
             return
         self._send(request, 200, {"events": matching, "current-rev": self.revision})
 
-    @staticmethod
-    def _send(request, status, body):
+    def _send(self, request, status, body):
         headers = HTTPHeaders({"Content-Type": "application/json"})
-        respond(request, status, headers, json.dumps(body).encode())
+        body = json.dumps(body).encode()
+        asyncio.get_running_loop().call_later(
+            self.delay_s, respond, request, status, headers, body
+        )
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -170,3 +170,29 @@
             await self.reader.watch_targets(revision, WATCH_TIMEOUT_S)
         # A node counts as undisturbed three seconds after the last fault.
         self.assertLess(asyncio.get_running_loop().time() - started_s, 3.0)
+
+    # Guards against a slow source that is taken for lost: all nodes would list all
+    # targets again and again, and see no change in between.
+    async def test_target_watch_waits_for_a_source_that_has_been_slow(self):
+        self.store.delay_s = 1.0
+        revision = (await self.reader.read_targets()).revision
+        update = await self.reader.watch_targets(revision, 0.1)
+        self.assertEqual(update.changes, [])
+
+    # Guards against an answer that was overtaken: the next watch would begin at an old
+    # revision, and the version held would be older than the one known.
+    async def test_overtaken_answer_changes_nothing(self):
+        self.put_configuration(3)
+        await self.read_configuration(0, 0.0)
+        self.store.delay_s = 0.3
+        late = asyncio.ensure_future(self.read_configuration(3, 0.05))
+        await asyncio.sleep(0.1)
+        self.store.delay_s = 0.0
+        self.put_configuration(4)
+        self.assertEqual(await self.read_configuration(3), (4, 4))
+        self.assertEqual(await late, (4, None))
+        calls = self.store.calls
+        self.assertEqual(await self.read_configuration(4), (4, None))
+        self.assertEqual(await self.read_configuration(4), (4, None))
+        # The key once, as a version has come, and a watch each time.
+        self.assertEqual(self.store.calls - calls, 3)
