--- a/balsamdeal/core/replication.py
+++ b/balsamdeal/core/replication.py
@@ -116,12 +116,14 @@
         self._unknown_mbps = self._links[own_node]
         self._self_reported = {own_node}
         self._ranking = [own_node]
-        # By node address: the time and request of the open poll, when the last good
-        # answer came, the failures in a row, until when the node is left out.
-        self._pending_polls = {}
-        self._late_polls = set()
+        # The latest polls of any node, and how long answers take.
         self._poll_times_s = deque(maxlen=MAX_POLLS_BEFORE_RETRY)
         self._poll_delays = DelayEstimator()
+        # By node address: the time and request of the open poll and whether it is late,
+        # when the last good answer came, the failures in a row, until when the node is
+        # left out.
+        self._pending_polls = {}
+        self._late_polls = set()
         self._good_answers_s = {}
         self._failure_counts = {}
         self._skipped_until_s = {}
@@ -265,10 +267,13 @@
         return result + self._answer_due(layer, now_s)
 
     def _lacks_good_answers(self, now_s):
-        """Return whether no good answer came within ``ANSWER_VALID_S``."""
-        return not any(
-            now_s < at_s + ANSWER_VALID_S for at_s in self._good_answers_s.values()
-        )
+        """Return whether no good answer came of late.
+
+        While answers of nodes are slow, each counts for longer.
+        """
+        excess_s = max(0.0, self._poll_delays.get_bound_s() - LATE_MARGIN_S)
+        valid_s = ANSWER_VALID_S + excess_s
+        return not any(now_s < at_s + valid_s for at_s in self._good_answers_s.values())
 
     def _poll_idle(self, parents, now_s):
         """Poll the given nodes that have no open poll."""
--- a/tests/core/test_replication_faults.py
+++ b/tests/core/test_replication_faults.py
@@ -123,3 +123,35 @@
         found = self.answer_source(None, 5)
         self.assertEqual(self.filter_effects(found, effects.ReportChange), [])
         self.assertEqual(self.node.versions.version, newer.version)
+
+    # Guards against a version that is thrown away because the answer that brings it is
+    # late.
+    def test_late_answer_brings_its_version_and_its_node_back(self):
+        late = self.parents[0]
+        while late in self.node.list_parents(self.now_s):
+            self.tick()
+        newer = make_document(6, **{"h/a/": "[1]"})
+        self.answer(late, compute_delta(self.held, newer))
+        self.assertEqual(self.node.versions.version, newer.version)
+        self.assertIn(late, self.node.list_parents(self.now_s))
+
+    # Guards against a node that waits for silent parents alone until their polls fail.
+    def test_late_nodes_are_replaced_before_they_fail(self):
+        poll = self.run_until(replication_messages.SendPoll, 2.0)
+        self.assertIsNotNone(poll)
+        self.assertNotIn(poll.address, self.parents)
+
+    # Guards against a version that waits below a parent that had lost the source: its
+    # next answer may come before those of the nodes that replace it.
+    def test_parent_that_lost_the_source_is_polled_meanwhile(self):
+        lost = self.parents[0]
+        reply = replication_messages.PollResponse(None, False, None, ())
+        self.node.handle_poll_response(
+            replication_messages.PollResponseReceived(lost, reply, self.now_s)
+        )
+        self.assertNotIn(lost, self.node.list_parents(self.now_s))
+        polls = []
+        while lost not in polls and self.now_s < 3.0:
+            found = self.filter_effects(self.tick(), replication_messages.SendPoll)
+            polls += [poll.address for poll in found]
+        self.assertLess(self.now_s, 1.0)
