--- a/balsamdeal/core/sources.py
+++ b/balsamdeal/core/sources.py
@@ -2,6 +2,9 @@
 
 A watcher has a watch open on each channel's key all the time. Other nodes probe the
 source at random times, and only when no known node seems to be in contact with it.
+
+While answers are late, reads may overlap: a version that is written just after one has
+been served would wait for that answer and for the next one otherwise.
 """
 
 import math
@@ -77,8 +80,7 @@
         half of it passes.
     :param new_version_pause_s: the pause after a new version, in seconds, so that a
         burst of versions takes few reads.
-    :param max_open_reads: how many reads of a channel may overlap. While the source is
-        slow, versions written between two reads would wait for both otherwise.
+    :param max_open_reads: how many reads of a channel may overlap.
     """
 
     def __init__(
