Serve routes of the kind download

Cause: the kind of some routes, download, was not among the kinds that the adapter lists, and a configuration with one invalid value is rejected whole.

Ruled out: anything else in that configuration.

Test: test_downloads_are_idempotent failed before with "Input should be 'safe' or 'unsafe'".

--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -57,6 +57,8 @@
 DEFAULT_OBJECTIVE_S = 1.0
 DEFAULT_MAX_ATTEMPTS = 1
 DEFAULT_RANK = 0
+# Kinds of routes whose requests may run more than once. A download has a large answer.
+IDEMPOTENT_KINDS = frozenset({"safe", "download"})
 
 
 class BackendMessage(Message):
@@ -95,15 +97,15 @@
 class RouteColumns(TableMessage):
     """The routes, by column.
 
-    ``kind`` is ``safe`` if a request may run more than once. A route has either
-    ``service`` or ``weighted_backends``. ``target_latency_s`` is the latency
-    objective; a lower ``priority`` is more urgent.
+    ``kind`` tells whether a request may run more than once, see IDEMPOTENT_KINDS. A
+    route has either ``service`` or ``weighted_backends``. ``target_latency_s`` is the
+    latency objective; a lower ``priority`` is more urgent.
     """
 
     host: tuple[NonEmptyText, ...]
     name: tuple[NonEmptyText, ...]
     path_prefix: tuple[PathPrefix, ...]
-    kind: tuple[Literal["safe", "unsafe"], ...]
+    kind: tuple[Literal["safe", "unsafe", "download"], ...]
     service: tuple[NonEmptyText | None, ...] = NULL_COLUMN
     weighted_backends: tuple[list[BackendMessage] | None, ...] = NULL_COLUMN
     timeout_s: tuple[PositiveFloat, ...]
@@ -198,7 +200,7 @@
         routes.name,
         routes.path_prefix,
         [_build_backends(*part, services) for part in parts],
-        [kind == "safe" for kind in routes.kind],
+        [kind in IDEMPOTENT_KINDS for kind in routes.kind],
         routes.timeout_s,
         (value or DEFAULT_OBJECTIVE_S for value in routes.target_latency_s),
         (value or DEFAULT_MAX_ATTEMPTS for value in routes.max_attempts),
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -108,6 +108,19 @@
         route = configuration.match("shop.example", "/b/x")
         self.assertEqual(route.backends, (Backend("board", 1.0),))
 
+    # Guards against a kind that is missing from the adapter: nobody was served.
+    def test_downloads_are_idempotent(self):
+        raw_routes = [
+            {**make_route(f"/{kind}/", service="desk"), "kind": kind}
+            for kind in ("download", "safe", "unsafe")
+        ]
+        configuration = self.decode_routes(*raw_routes)
+        found = [
+            configuration.match("shop.example", f"/{kind}/1").idempotent
+            for kind in ("download", "safe", "unsafe")
+        ]
+        self.assertEqual(found, [True, True, False])
+
     def test_columns_in_any_order(self):
         raw_routes = [
             make_route("/a/", service="desk"),
