Read a route of an unknown kind strictly instead of rejecting the version

Weighed for a route whose kind is unknown: - reject the version: no part of it is in force, a node that starts with it has nothing, one that runs stays behind all later versions, too; - keep the last valid version: the same, until all nodes are replaced; - leave the route out: its callers get 404 for a route that is published; - read that route strictly (chosen): it is routed like any other, and its requests run once at most, as nothing is known of repeating them.

A version is still taken whole or not at all: a kind of a wrong type, an empty one, or a reference to nothing rejects it.

Operators see it: a warning with the version, the words and their routes, the counter unknown_words, and the readiness page, which now also says what a node lacks and why the newest version was rejected.

--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -160,10 +160,18 @@
             replication_messages.MembersChanged(members, now_s)
         )
 
+    def list_missing(self):
+        """Return what the node lacks to serve callers; an empty list if it is ready."""
+        missing = []
+        if self.calls.configuration is None:
+            missing.append("configuration")
+        if self.targets.changed_s is None:
+            missing.append("targets")
+        return missing
+
     def is_ready(self):
         """Return whether the node has a configuration and a list of targets."""
-        known = self.calls.configuration is not None
-        return known and self.targets.changed_s is not None
+        return not self.list_missing()
 
     def is_idle(self):
         """Return whether all calls and all work have been answered."""
--- a/balsamdeal/core/routes.py
+++ b/balsamdeal/core/routes.py
@@ -48,13 +48,16 @@
 class Configuration:
     """All routes of one version, by host and then by prefix.
 
-    ``version`` is the source's revision.
+    ``version`` is the source's revision. ``unknown_words`` describes, for operators,
+    what this release does not know and therefore treats with most caution; deltas
+    between nodes do not carry it.
     """
 
     version: int
     hosts: dict[str, dict[str, HostRoute]]
     services: frozenset[str]
     limits: Limits = field(default_factory=Limits)
+    unknown_words: tuple[str, ...] = ()
 
     def match(self, host, path):
         """Return the route of the longest prefix of ``path``, or None.
--- a/balsamdeal/net/control.py
+++ b/balsamdeal/net/control.py
@@ -39,11 +39,23 @@
         ready = self._shell.proxy.is_ready() and not self._shell.stopping
         if self._shell.stopping:
             self.count_failed_probe()
-        content = json.dumps({"ready": ready}).encode()
+        content = json.dumps(self._describe(ready)).encode()
         response_headers = HTTPHeaders({"Content-Type": "application/json"})
         status = 200 if ready else 503
         write_response(connection, start_line.method, status, response_headers, content)
 
+    def _describe(self, ready):
+        """Return the content of the answer to a probe, with what to look into."""
+        replicator = self._shell.replicator
+        content = {"ready": ready, "missing": self._shell.proxy.list_missing()}
+        if self._shell.stopping:
+            content["stopping"] = True
+        if replicator.rejection is not None:
+            content["rejected_configuration"] = replicator.rejection
+        if replicator.unknown_words:
+            content["unknown_words"] = replicator.unknown_words
+        return content
+
     def count_failed_probe(self):
         """Count a failed probe if it begins a round.
 
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -29,17 +29,24 @@
 
     ``version`` is the newest version's number. ``configuration`` is it if it is newer
     than the one held, or None. ``transfer_s`` is how long it takes over the own link if
-    that is idle, or None without a configuration.
+    that is idle, or None without a configuration. ``rejection`` is why the newest
+    version was rejected, or None if it was not, and ``unknown_words`` what is unknown
+    in it.
     """
 
     version: int
     configuration: object
     transfer_s: float | None
+    rejection: str | None = None
+    unknown_words: tuple[str, ...] = ()
 
 
 class ConfigReplicator:
     """Runs the effects of the replication of the configuration.
 
+    ``rejection`` and ``unknown_words`` are those of the version that this node last
+    read from the source, see ``ConfigurationUpdate``.
+
     :param shell: the ``ProxyShell``.
     """
 
@@ -48,6 +55,8 @@
         # Separate from the pool for attempts: a late answer to a poll closes the idle
         # connections to a node, and those for attempts must stay.
         self.pool = ConnectionPool(MAX_NEWS_BYTES)
+        self.rejection = None
+        self.unknown_words = ()
         self._read = None
         self._tick_timer = None
         self._pending_polls = {}
@@ -102,6 +111,8 @@
         try:
             update = await self._read(effect.after_revision, effect.wait_s)
             document = None
+            self.rejection = update.rejection
+            self.unknown_words = update.unknown_words
             if update.configuration is not None:
                 document = shell.proxy.make_document(update.configuration)
         except SourceError as error:
--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -59,6 +59,10 @@
 DEFAULT_RANK = 0
 # Kinds of routes whose requests may run more than once. A download has a large answer.
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
+KNOWN_KINDS = IDEMPOTENT_KINDS | {"unsafe"}
+# Unknown words that are reported of one configuration, and the characters of each.
+MAX_UNKNOWN_WORDS = 10
+MAX_WORD_LENGTH = 40
 
 
 class BackendMessage(Message):
@@ -97,15 +101,15 @@
 class RouteColumns(TableMessage):
     """The routes, by column.
 
-    ``kind`` tells whether a request may run more than once, see IDEMPOTENT_KINDS. A
-    route has either ``service`` or ``weighted_backends``. ``target_latency_s`` is the
-    latency objective; a lower ``priority`` is more urgent.
+    ``kind`` tells whether a request may run more than once, see IDEMPOTENT_KINDS; of
+    an unknown kind none may. A route has either ``service`` or ``weighted_backends``.
+    ``target_latency_s`` is the latency objective; a lower ``priority`` is more urgent.
     """
 
     host: tuple[NonEmptyText, ...]
     name: tuple[NonEmptyText, ...]
     path_prefix: tuple[PathPrefix, ...]
-    kind: tuple[Literal["safe", "unsafe", "download"], ...]
+    kind: tuple[NonEmptyText, ...]
     service: tuple[NonEmptyText | None, ...] = NULL_COLUMN
     weighted_backends: tuple[list[BackendMessage] | None, ...] = NULL_COLUMN
     timeout_s: tuple[PositiveFloat, ...]
@@ -212,9 +216,24 @@
     return hosts
 
 
+def _list_unknown_words(routes):
+    """Return descriptions of the routes' unknown kinds, the first of them."""
+    found = [
+        f"kind {kind[:MAX_WORD_LENGTH]!r} of route {name[:MAX_WORD_LENGTH]!r}"
+        for name, kind in zip(routes.name, routes.kind)
+        if kind not in KNOWN_KINDS
+    ]
+    listed = found[:MAX_UNKNOWN_WORDS]
+    if len(found) > len(listed):
+        listed.append(f"{len(found) - len(listed)} more")
+    return tuple(listed)
+
+
 def decode_configuration(content):
     """Return the ``Configuration`` in the JSON bytes of a value.
 
+    An unknown word of one route restricts that route alone.
+
     :raises ContentError: when any part is invalid; the whole version is rejected.
     """
     try:
@@ -231,7 +250,8 @@
         message.limits.header_timeout_s,
         message.limits.idle_timeout_s,
     )
-    return Configuration(message.version, hosts, services, limits)
+    words = _list_unknown_words(message.routes)
+    return Configuration(message.version, hosts, services, limits, words)
 
 
 def decode_value(item):
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -54,6 +54,8 @@
         self._shell = shell
         self._pool = ConnectionPool(MAX_RESPONSE_BYTES)
         self._reported_bad = {}
+        self._rejection = None
+        self._unknown_words = ()
         self._watch_revision = None
         self._last_revision = None
         self._last_version = 0
@@ -100,10 +102,11 @@
             raise
 
     def _make_update(self, configuration, after):
-        if configuration is None:
-            return ConfigurationUpdate(max(after, self._last_version), None, None)
+        version, transfer_s = max(after, self._last_version), None
+        if configuration is not None:
+            version, transfer_s = configuration.version, self._transfer_s
         return ConfigurationUpdate(
-            configuration.version, configuration, self._transfer_s
+            version, configuration, transfer_s, self._rejection, self._unknown_words
         )
 
     async def _get_configuration(self, call, query, timeout_s):
@@ -304,7 +307,10 @@
             configuration = decode_configuration(decode_value(item))
         except ContentError as error:
             self._report_bad_entry(item.key, item.revision, str(error))
+            self._rejection = str(error)
             return None
+        self._rejection = None
+        self._report_unknown_words(configuration)
         fields = {
             "version": configuration.version,
             "revision": item.revision,
@@ -314,6 +320,15 @@
         logger.info("configuration decoded", extra=fields)
         return configuration
 
+    def _report_unknown_words(self, configuration):
+        """Count the unknown words, and log them if they have changed."""
+        words = configuration.unknown_words
+        self._shell.metrics.count("unknown_words", len(words))
+        if words and words != self._unknown_words:
+            fields = {"version": configuration.version, "words": words}
+            logger.warning("configuration has unknown words", extra=fields)
+        self._unknown_words = words
+
     def _decode_target(self, item):
         port = self._shell.settings.node_address.rpartition(":")[2]
         try:
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -1,6 +1,7 @@
 """Tests of requests through nodes: whole answers, at most one run, correct refusals."""
 
 import asyncio
+import json
 import socket
 
 from tests.platform.fleet import HOST, FleetCase, make_rules
@@ -149,6 +150,43 @@
         await asyncio.sleep(1.5)
         self.assertTrue(await is_in_force())
 
+    # Guards against a new word in one route that makes all routes useless.
+    async def test_routes_are_served_beside_one_of_an_unknown_kind(self):
+        odd = {**make_route("/odd/", service="desk"), "kind": "odd"}
+        self.store.put("op/config", make_configuration(9, *make_rules(), odd))
+
+        async def is_in_force():
+            return (await self.call("/odd/1", "r1")).status == 200
+
+        await self.wait_for(is_in_force, 2.0)
+        self.assertEqual((await self.call("/safe/1", "r2")).status, 200)
+        # Nothing is known of the kind, so the request is not sent again.
+        found = await self.call_with_fault("reset", "/odd/2", "r3")
+        self.assertEqual(found, (502, 1))
+        content = json.loads((await self.fetch_readiness(0)).body)
+        words = ["kind 'odd' of route 'rule /odd/'"]
+        self.assertEqual((content["ready"], content["unknown_words"]), (True, words))
+
+    # Guards against operators who cannot tell why a node is not ready.
+    async def test_readiness_says_that_a_configuration_was_rejected(self):
+        broken = make_configuration(9, make_route("/new/", service="none"))
+        self.store.put("op/config", broken)
+        self.signal_node(0)
+        self.processes[0].wait()
+        self.start_node(0)
+
+        async def is_rejected():
+            answer = await self.fetch_readiness(0)
+            content = json.loads(answer.body) if answer else {}
+            if "rejected_configuration" not in content:
+                return False
+            self.assertIn("unknown service none", content["rejected_configuration"])
+            self.assertEqual(content["missing"], ["configuration"])
+            return answer.status == 503
+
+        await self.wait_for(is_rejected)
+        self.assertEqual((await self.call("/safe/1", "r1")).status, 503)
+
     async def test_invalid_configuration_leaves_the_last_valid_one(self):
         broken = make_configuration(9, make_route("/new/", service="none"))
         self.store.put("op/config", broken)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -97,6 +97,24 @@
         self.put_configuration(4)
         self.assertEqual(await self.read_configuration(3), (4, 4))
 
+    # Guards against operators who cannot tell why a version is not in force.
+    async def test_rejection_and_unknown_words_are_reported_until_they_are_mended(self):
+        odd = {**make_route("/a/", service="desk"), "kind": "odd"}
+        self.store.put("op/config", make_configuration(3, odd))
+        with self.assertLogs("balsamdeal.platform.store", "WARNING") as logs:
+            update = await self.reader.read_configuration(0, 0.0)
+        self.assertEqual(update.unknown_words, ("kind 'odd' of route 'rule /a/'",))
+        self.assertEqual((logs.records[0].version, update.version), (3, 3))
+        self.assertEqual(self.metrics.counters["unknown_words"], 1)
+        self.store.put(
+            "op/config", make_configuration(4, make_route("/a/", service="none"))
+        )
+        update = await self.reader.read_configuration(3, 0.05)
+        self.assertIn("unknown service none", update.rejection)
+        self.put_configuration(5)
+        update = await self.reader.read_configuration(3, 0.05)
+        self.assertEqual((update.rejection, update.unknown_words), (None, ()))
+
     async def test_configuration_is_read_after_lost_history(self):
         self.put_configuration(3)
         await self.read_configuration(0, 0.0)
--- a/tools/nodes.py
+++ b/tools/nodes.py
@@ -160,10 +160,10 @@
         """Send a signal to a node's process."""
         self.processes[index].send_signal(signal_number)
 
-    async def is_ready(self, index):
-        """Return whether a node reports that it is ready for callers."""
+    async def fetch_readiness(self, index):
+        """Return a node's answer to a readiness probe, or None if there is none."""
         try:
-            answer = await self.pool.fetch(
+            return await self.pool.fetch(
                 f"{self.get_ip(index)}:{self.ports[2]}",
                 "GET",
                 "/api/readiness",
@@ -172,8 +172,12 @@
                 new_connection=True,
             )
         except ExchangeError:
-            return False  # it does not listen yet, or no longer
-        return answer.status == 200
+            return None  # it does not listen yet, or no longer
+
+    async def is_ready(self, index):
+        """Return whether a node reports that it is ready for callers."""
+        answer = await self.fetch_readiness(index)
+        return answer is not None and answer.status == 200
 
     async def wait_until_ready(self, index):
         """Wait until a node serves callers."""
