Let processes of two releases understand each other

Would be seen by callers: in a release in which old and new nodes run side by side, one more field in a poll made old nodes answer 400, so the new ones took them for failed and read the source themselves; one more field in work made its receiver refuse it, and as the sender could not tell whether it had run, callers got 502 and the request was not sent elsewhere.

Now messages between nodes may have further fields: by name in JSON objects, at the end of a head. Values and types of the known ones are checked as before. A node that cannot decode work says so with 400, before anything has run, and the sender tries another.

Tests: three failed before ("Extra inputs are not permitted", "malformed work message", sent where it was not).

--- a/balsamdeal/models.py
+++ b/balsamdeal/models.py
@@ -30,6 +30,12 @@
     model_config = ConfigDict(extra="forbid", strict=True)
 
 
+class NodeMessage(BaseModel):
+    """Base of messages between nodes: fields of later releases are ignored."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+
 class ClassModel(Model):
     """A traffic class of a service; times in seconds."""
 
@@ -127,7 +133,7 @@
     parts: dict[str, str | PartReference]
 
 
-class ViewMessage(Model):
+class ViewMessage(NodeMessage):
     """A node's state, which two nodes exchange to compare their versions.
 
     ``started_s`` is the sender's start in seconds since the epoch; ``versions`` maps
@@ -146,7 +152,7 @@
     draining: bool
 
 
-class DeltaMessage(Model):
+class DeltaMessage(NodeMessage):
     """A delta of a channel's document; see ``documents.Delta``."""
 
     base: tuple[int, str] | None
@@ -161,7 +167,7 @@
 AgeSeconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 
 
-class PollRequestMessage(Model):
+class PollRequestMessage(NodeMessage):
     """A request for a newer configuration; see ``replication_messages.PollRequest``."""
 
     base: tuple[int, str] | None
@@ -169,7 +175,7 @@
     links: Annotated[list[tuple[str, LinkMbps]], Field(max_length=MAX_LINKS)]
 
 
-class PollResponseMessage(Model):
+class PollResponseMessage(NodeMessage):
     """The answer to a ``PollRequestMessage``; see ``PollResponse``."""
 
     delta: DeltaMessage | None
@@ -178,7 +184,7 @@
     links: Annotated[list[tuple[str, LinkMbps]], Field(max_length=MAX_LINKS)]
 
 
-class InquiryAnswer(Model):
+class InquiryAnswer(NodeMessage):
     """The answer to an ``InquiryMessage``: the state of the key at the node ``vm``.
 
     ``since_s`` is the start of the node's process in seconds since the epoch,
@@ -191,7 +197,7 @@
     vms_revision: int
 
 
-class WorkMessage(Model):
+class WorkMessage(NodeMessage):
     """Metadata of a request that an ingress forwards to a target's node.
 
     ``vm`` and ``address`` are those of the ingress, ``attempt`` is its id of the
@@ -218,7 +224,7 @@
     config: tuple[int, str]
 
 
-class LoadMessage(Model):
+class LoadMessage(NodeMessage):
     """The load of a target's node; see ``core.replies.Load``."""
 
     busy: int
@@ -227,7 +233,7 @@
     draining: bool
 
 
-class ReplyMessage(Model):
+class ReplyMessage(NodeMessage):
     """Metadata of the reply to a forwarded request; see ``core.replies.Reply``."""
 
     attempt: str
@@ -242,14 +248,14 @@
     config: tuple[int, str]
 
 
-class PullMessage(Model):
+class PullMessage(NodeMessage):
     """A request for a channel's document, as a delta from ``base`` if possible."""
 
     channel: Literal["config", "vms"]
     base: tuple[int, str] | None
 
 
-class InquiryMessage(Model):
+class InquiryMessage(NodeMessage):
     """An inquiry about an idempotency key from the node ``asker``.
 
     Where the key is unknown it is barred, so that it never runs there.
--- a/balsamdeal/net/node_codec.py
+++ b/balsamdeal/net/node_codec.py
@@ -1,5 +1,7 @@
 """Encoding of work and replies between nodes, each the body of an HTTP message.
 
+Later releases add fields at the end of a head, and earlier ones skip these.
+
 A message consists of a head and the body that the caller or the target sent. The head
 is a JSON list, compressed by deflate with a preset dictionary of what most heads
 contain: it crosses failure domains with each request, and that traffic is expensive.
@@ -166,6 +168,7 @@
                 objective_left_ms,
                 objective_ms,
                 caller_service,
+                *_,
             ) = head
             payload = Payload(str(method), str(path), _decode_headers(headers), body)
             event = WorkReceived(
@@ -265,7 +268,7 @@
             )
             if reply.outcome != ANSWERED:
                 return reply, None
-            status, phrase, headers = details
+            status, phrase, headers, *_ = details
             pairs = _decode_headers(headers, request_id)
             return reply, Answer(int(status), str(phrase), pairs, body)
         except (ValueError, TypeError, IndexError, struct.error, zlib.error) as error:
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -55,6 +55,9 @@
 # (128 MB) have left beside a node's own 45 MB. An answer is copied once it is whole.
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ANSWERS_BYTES = 25_165_824
+# Status of the answer to a message of another node that cannot be decoded. Nothing of
+# it has run.
+UNDECODED = 400
 # Idle connections are kept this much longer than the limit, so that a request that is
 # in transit at the limit still arrives.
 IDLE_TIMEOUT_MARGIN_S = 1.0
@@ -339,6 +342,10 @@
                 non_idempotent=not effect.idempotent,
                 exchange=exchange,
             )
+            if response.status == UNDECODED:
+                raise ExchangeError(
+                    "work was not decoded", "decode", effect.node_address, False
+                )
             request_id = payload.get_header(self.names.request_id)
             reply, answer = self.codec.decode_reply(
                 response.body, effect.node_address, request_id
@@ -404,10 +411,10 @@
         self.handle(event)
 
     def refuse_message(self, connection, log_message, error):
-        """Log a message of another node that cannot be decoded; answer it with 400."""
+        """Log a message of another node that cannot be decoded, and say so to it."""
         logger.warning(log_message, extra={"reason": str(error)})
         self.metrics.count("bad_messages")
-        write_response(connection, "POST", 400, HTTPHeaders(), b"")
+        write_response(connection, "POST", UNDECODED, HTTPHeaders(), b"")
 
     def _abandon_work(self, work_id):
         self._clear_timer(WORK_TIMER, work_id)
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -127,6 +127,27 @@
         message = self.codec.encode_work(make_attempt(), "board", payload)
         self.assertLess(len(message), plain)
 
+    # Guards against a release in which old nodes refuse all work of new ones.
+    def test_fields_of_a_later_release_are_ignored(self):
+        work = self.codec.encode_work(make_attempt(), "board", make_payload(b"x"))
+        reply = WorkReply(request_events.ANSWERED, True, "", 0.0, 0.108, load=LOAD)
+        answered = self.codec.encode_reply(reply, make_answer(), REQUEST_ID)
+        refusal = replace(reply, outcome=request_events.NOT_RUN)
+        refused = self.codec.encode_reply(refusal, None, REQUEST_ID)
+        longer = []
+        for message in (work, answered, refused):
+            head, body = self.codec._decode(message)
+            longer.append(self.codec._encode([*head, "new", {"a": 1}], body))
+        self.assertEqual(
+            self.codec.decode_work(longer[0], 5, 10.0, {}),
+            self.codec.decode_work(work, 5, 10.0, {}),
+        )
+        for message, other in ((longer[1], answered), (longer[2], refused)):
+            self.assertEqual(
+                self.codec.decode_reply(message, "peer", REQUEST_ID),
+                self.codec.decode_reply(other, "peer", REQUEST_ID),
+            )
+
     def test_malformed_message_is_refused(self):
         work = self.codec.encode_work(make_attempt(), "board", make_payload())
         other_names = HeaderNames(*"ABCDEFGH")
--- a/tests/net/test_proxying.py
+++ b/tests/net/test_proxying.py
@@ -3,9 +3,11 @@
 import asyncio
 import unittest
 
+from tornado.httputil import HTTPHeaders
+
 from balsamdeal.core import request_events
-from balsamdeal.net.connections import Exchange
-from balsamdeal.net.messages import HeaderNames
+from balsamdeal.net.connections import Exchange, Response
+from balsamdeal.net.messages import HeaderNames, Payload
 from balsamdeal.net.proxying import ProxyShell
 from balsamdeal.proxysettings import ProxySettings
 
@@ -64,6 +66,23 @@
         self.run_effect(request_events.CancelWork(1, silent=True))
         self.assertEqual(self.dropped, ["127.0.0.1:4"])
 
+    # Guards against a request that another node could not decode, as the two belong to
+    # different releases: its caller was told that it may have run.
+    async def test_work_that_a_node_cannot_decode_has_not_run(self):
+        async def fetch(*arguments, **options):
+            return Response(400, HTTPHeaders(), b"", 0)
+
+        handled = []
+        self.shell.peer_pool.fetch = fetch
+        self.shell.handle = handled.append
+        effect = request_events.SendAttempt(
+            7, 8, "10.0.0.2:1", False, "i-1", "desk", False, 2, 1.2, 0.3, 0.4
+        )
+        payload = Payload("POST", "/", (), b"")
+        await self.shell._exchange_attempt(effect, payload, Exchange())
+        (event,) = handled
+        self.assertEqual((event.sent, event.step), (False, "decode"))
+
     async def test_later_timer_replaces_the_earlier_one(self):
         fired = []
         self.shell.handle = fired.append
--- a/tests/net/test_wire.py
+++ b/tests/net/test_wire.py
@@ -1,6 +1,8 @@
 """Tests of the messages by which nodes distribute configurations."""
 
+import json
 import unittest
+import zlib
 
 from balsamdeal.core.replication_messages import PollRequest, PollResponse
 from balsamdeal.documents import Delta, Version
@@ -29,6 +31,20 @@
                 wire.decode_poll_response(wire.encode_poll_response(response)), response
             )
 
+    # Guards against a release in which old nodes reject each poll of new ones, as it
+    # has one more field, and all read the source themselves.
+    def test_fields_of_a_later_release_are_ignored(self):
+        request = PollRequest(Version(3, "a"), 1.0, LINKS)
+        content = json.loads(wire.encode_poll_request(request))
+        body = json.dumps({**content, "new": [1]}).encode()
+        self.assertEqual(wire.decode_poll_request(body), request)
+        delta = Delta(Version(3, "a"), Version(4, "b"), {"h/a/": "[]"}, ("h/b/",))
+        response = PollResponse(delta, False, 0.5, LINKS)
+        content = json.loads(zlib.decompress(wire.encode_poll_response(response)))
+        content = {**content, "new": 1, "delta": {**content["delta"], "new": {}}}
+        body = zlib.compress(json.dumps(content).encode())
+        self.assertEqual(wire.decode_poll_response(body), response)
+
     # NaN, infinite or negative numbers would permanently stop a node from receiving
     # configurations.
     def test_rejects_numbers_out_of_bounds(self):
