Do not ask again for a version that this node rejected or holds already

Seen in the simulated fleet, as two releases that run side by side would be: - a node that cannot apply what its parents send polls them again at once: 83 polls in a second (10 are allowed); - a node that encodes a version differently from its parents takes theirs for newer if its digest is larger: 6 reads of the source in 10 s.

Cause: polls named the version in force as base, also after a newer one had been rejected, and versions were compared by revision and then by digest.

Now a poll names the newest rejected version as its base if that is newer, so that it is answered with a later one only, and a node that rejects what another node sent reads the version from the source, which it may be able to decode. Nodes compare revisions. Of two contents under one revision each node keeps the one that it has; that one could not be replaced before either.

Tests: both new tests of DeltaTest failed before.

--- a/balsamdeal/core/replication.py
+++ b/balsamdeal/core/replication.py
@@ -385,12 +385,20 @@
 
     def _poll(self, address, now_s, wait_s):
         request = replication_messages.PollRequest(
-            self.versions.version, wait_s, self._select_links()
+            self._get_poll_base(), wait_s, self._select_links()
         )
         self._pending_polls[address] = (now_s, request)
         self._poll_times_s.append(now_s)
         return replication_messages.SendPoll(address, request)
 
+    def _get_poll_base(self):
+        """Return the version than which polls ask for a newer one.
+
+        It is the newest rejected one if that is newer than the one in force: other
+        nodes may hold it, and would send it again.
+        """
+        return max(self.versions.version, *self.versions.rejected, NO_VERSION)
+
     def _answer_due(self, layer, now_s):
         """Answer the held polls whose time is over, or all if the source is lost."""
         is_lost = _is_too_old(self._get_source_age_s(layer, now_s), layer)
@@ -446,7 +454,8 @@
         self._held_polls.pop(exchange_id, None)
 
     def _has_newer_than(self, base):
-        return self.versions.version > (base or NO_VERSION)
+        # By revision only: nodes of two releases may encode a version differently.
+        return self.versions.version.revision > (base or NO_VERSION).revision
 
     def _answer(self, exchange_id, now_s, deltas=None):
         base, _ = self._held_polls.pop(exchange_id)
@@ -512,7 +521,7 @@
             self._bad_answer_count = max(0, self._bad_answer_count - 1)
             self.sources.record_contact(now_s - answer.source_age_s)
         # Since the poll began, another answer may have brought the newer version.
-        if answer.is_behind and request.base == self.versions.version:
+        if answer.is_behind and request.base == self._get_poll_base():
             self._next_behind_poll_s = now_s + RETRY_PAUSE_S
             self._schedule_whole_read(now_s)
         delta = answer.delta
@@ -526,6 +535,9 @@
             return [effects.ReportChange("bad difference", fields)]
         self._is_behind = False
         result = self._apply_if_newer(document, address, polled_s, now_s)
+        if document.version in self.versions.rejected:
+            # As the source has it, this node may be able to read it.
+            self._schedule_whole_read(now_s)
         return result + self._poll_again(address, now_s)
 
     def _record_poll_delay(self, took_s, wait_s):
--- a/tests/core/test_replication.py
+++ b/tests/core/test_replication.py
@@ -7,10 +7,13 @@
 """
 
 import unittest
+from dataclasses import replace
 
 from balsamdeal.core import replication_messages
 from balsamdeal.core.replication import PARENT_COUNT
 from balsamdeal.core.versions import HISTORY_LENGTH
+from balsamdeal.documents import Version
+from balsamdeal.errors import ContentError
 from tests.core.replication_fleet import (
     REFUSED,
     SILENT,
@@ -651,6 +654,46 @@
         self.fleet.run(IN_FORCE_S)
         self.check_in_force(self.fleet, revision)
 
+    # Guards against a node that polls without pause, as its parents send it again and
+    # again what it cannot decode: it belongs to an earlier release.
+    def test_version_that_only_one_node_rejects_is_not_asked_for_again(self):
+        apply = self.child.replication._apply
+        rejected = len(self.fleet.items) + 1
+
+        def reject(document):
+            if document.version.revision == rejected:
+                raise ContentError("unknown field", "decode", str(rejected))
+            apply(document)
+
+        self.child.replication._apply = reject
+        began_s = self.fleet.now_s
+        self.fleet.write()
+        self.fleet.run(5.0)
+        self.assertEqual(self.child.revision, rejected - 1)
+        self.check_no_busy_loop(self.fleet, began_s)
+        self.check_in_force(self.fleet, self.write_and_run())
+
+    # Guards against nodes of another release that read the source again and again, as
+    # they encode the same version differently.
+    def test_same_version_of_another_release_is_not_newer(self):
+        versions = self.child.replication.versions
+        for digest in ("", "~"):
+            version = Version(versions.version.revision, digest)
+            document = replace(versions.document, version=version)
+            versions.document = document
+            versions.history = [document]
+            with self.subTest(digest=digest):
+                calls, began_s = len(self.child.called_s), self.fleet.now_s
+                self.fleet.run(10.0)
+                self.assertLessEqual(len(self.child.called_s) - calls, 1)
+                self.check_no_busy_loop(self.fleet, began_s)
+                self.check_in_force(self.fleet, self.write_and_run())
+
+    def write_and_run(self):
+        revision = self.fleet.write()
+        self.fleet.run(IN_FORCE_S)
+        return revision
+
     def test_value_that_is_no_configuration_changes_nothing(self):
         held = self.fleet.write()
         self.fleet.run(IN_FORCE_S)
