Treat a VM's link as a resource: small messages first, large answers in chunks

Cause: the links of the 16 targets' VMs. A route sheet has 90 KB on average and up to 540 KB; a link of 3.5 Mbit/s takes 0.2 to 1.2 s for one, and all sheets leave from these.

Ruled out: processor time (0.057 of a core); the callers' own hop (with sheets alone,, transfers take 1.1 times what 3.5 Mbit/s allow, once); compression (the bodies are random bytes).

Now the node in front of a target sends what takes the link up to 30 ms at once, and the rest in chunks, as fast as the link takes them, the shortest remainder first, what will be late last (core/link_queue.py). Replies report how long the link is taken; senders add that and the transfer to what they expect of a target, and their own target needs no link. Large answers stay in their domain unless they are expected to take over half of the time left. Work whose answer cannot leave before its caller does is refused.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -175,6 +175,7 @@
                 call.route,
                 call.objective_at_s - now_s,
                 now_s,
+                call.deadline_s - now_s,
             )
         if target is None:
             return self._give_up(call, now_s)
@@ -184,7 +185,7 @@
         call.tried.add(target.identity)
         self.attempts[call.attempt_id] = call
         call.sent_s = now_s
-        self.placement.record_sent(target, now_s)
+        self.placement.record_sent(target, now_s, call.route.name)
         return [
             SendAttempt(
                 call.attempt_id,
@@ -278,7 +279,9 @@
     def _handle_answer(self, call, target, event, now_s):
         failed = event.reply.failed
         if not failed:
-            self.placement.record_run(target, call.route.name, event.reply.ran_s)
+            self.placement.record_run(
+                target, call.route.name, event.reply.ran_s, event.answer_bytes
+            )
         result = self._record_result(call, target, failed, now_s)
         if failed and call.route.idempotent and self._may_retry(call, now_s):
             # The caller gets this answer if no retry succeeds.
--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -54,6 +54,14 @@
 # A call that was tried at this many near targets goes to another domain if that has
 # room: in a large domain the reported loads are old, and all of it may be full.
 MAX_NEAR_TRIED = 2
+# From this mean size on, an answer is large: it holds a narrow link for long, and costs
+# more between domains than most requests are worth.
+LARGE_ANSWER_BYTES = 16_384
+# Work with a large answer goes to another domain only if it is expected to take longer
+# than this share of its time left in the own one.
+LARGE_ANSWER_NEAR_SHARE = 0.5
+# Weight of the newest answer in the moving average of a route's answer sizes.
+SIZE_EWMA_WEIGHT = 0.1
 # Most targets sampled for one choice, however many a service has.
 MAX_COMPARED = 6
 # This node's own target is preferred while its estimate is at most this many times the
@@ -69,6 +77,8 @@
     ``sent_time_sum_s`` adds up the times at which those in flight were sent.
     ``excluded_until_s`` covers ejection and failures to reach the target.
     ``refused_priority`` is the most urgent priority that was refused lately.
+    ``link_mbps`` is the bandwidth of the link of the target's VM, 0 if it has not been
+    reported, and ``large_sent_since_load`` counts attempts with large answers.
     """
 
     load: object = None
@@ -83,6 +93,8 @@
     refused_priority: tuple = (0, False)
     refused_until_s: float = -math.inf
     retry_after_s: float = 0.0
+    link_mbps: float = 0.0
+    large_sent_since_load: int = 0
 
 
 class Placement:
@@ -101,6 +113,7 @@
         self.random = random
         self.views = {}
         self.route_runs_s = {}
+        self.answer_bytes = {}
         self.urgent_routes = frozenset()
         self._medians = {}
 
@@ -118,9 +131,10 @@
             if not self.views[identity].in_flight:
                 del self.views[identity]
 
-    def record_sent(self, target, now_s):
+    def record_sent(self, target, now_s, route_name=""):
         """Count an attempt as in flight."""
         view = self.get_view(target)
+        view.large_sent_since_load += self._has_large_answers(route_name)
         view.in_flight += 1
         view.sent_time_sum_s += now_s
         view.sent_since_load += 1
@@ -140,12 +154,22 @@
         view.load = load
         view.load_s = now_s
         view.sent_since_load = 0.0
+        view.large_sent_since_load = 0
         view.unreachable_count = 0
+        if load.link is not None:
+            view.link_mbps = load.link.mbps
         if load.stopping:
             view.stopping_until_s = now_s + STOPPING_EXCLUSION_S
 
-    def record_run(self, target, route_name, ran_s):
-        """Update a route's average run length, scaled to a target of median speed."""
+    def record_run(self, target, route_name, ran_s, answer_bytes=0):
+        """Update a route's averages after a run.
+
+        These are the run length, scaled to a target of median speed, and the size of an
+        answer in bytes.
+        """
+        known = self.answer_bytes.get(route_name, answer_bytes)
+        known += SIZE_EWMA_WEIGHT * (answer_bytes - known)
+        self.answer_bytes[route_name] = known
         median_s = ran_s / self._get_slowness(target)
         known_s = self.route_runs_s.get(route_name, median_s)
         self.route_runs_s[route_name] = known_s + RUN_EWMA_WEIGHT * (median_s - known_s)
@@ -263,7 +287,23 @@
         excess = max(0.0, occupancy + 1 - KNEE_SHARE * limit)
         # Among targets with room, prefers the less occupied ones a little.
         occupancy_penalty = 0.1 * min(1.0, occupancy / limit)
-        return run_s * (1.0 + occupancy_penalty) + work_s * excess / limit
+        link_s = self._estimate_link_s(target, view, route_name, run_s, now_s)
+        return run_s * (1.0 + occupancy_penalty) + work_s * excess / limit + link_s
+
+    def _has_large_answers(self, route_name):
+        return self.answer_bytes.get(route_name, 0.0) >= LARGE_ANSWER_BYTES
+
+    def _estimate_link_s(self, target, view, route_name, run_s, now_s):
+        """Return how long a large answer waits for the target's link and is on it."""
+        if not self._has_large_answers(route_name) or not view.link_mbps:
+            return 0.0
+        if target.node_address == self.own_node:
+            return 0.0
+        transfer_s = self.answer_bytes[route_name] * 8 / (view.link_mbps * 1e6)
+        reported = view.load.link if view.load is not None else None
+        wait_s = reported.wait_s - (now_s - view.load_s) if reported else 0.0
+        wait_s = max(0.0, wait_s) + view.large_sent_since_load * transfer_s
+        return max(0.0, wait_s - run_s) + transfer_s
 
     @staticmethod
     def _estimate_occupancy(target, view, now_s):
@@ -305,7 +345,9 @@
         self._medians[service] = (value, len(targets))
         return value
 
-    def choose(self, service, excluded, route, objective_left_s, now_s):
+    def choose(
+        self, service, excluded, route, objective_left_s, now_s, time_left_s=0.0
+    ):
         """Return the target for a piece of work, or None.
 
         :param service: the service to reach.
@@ -313,6 +355,7 @@
         :param route: the ``HostRoute`` of the work.
         :param objective_left_s: the time left to meet the objective, in seconds.
         :param now_s: the loop's time in seconds.
+        :param time_left_s: the time left to answer the caller, in seconds.
         """
         usable = self._list_usable(service, excluded, now_s)
         priority = self.get_priority(route, objective_left_s)
@@ -328,6 +371,9 @@
         in_time = best_s <= NEAR_OBJECTIVE_SHARE * objective_left_s
         if best is not None and in_time and not near_exhausted:
             return best
+        if best is not None and self._has_large_answers(route.name):
+            if best_s <= LARGE_ANSWER_NEAR_SHARE * time_left_s:
+                return best
         far_best, far_best_s = self._pick(far, now_s, route.name, False)
         if (
             far_best is not None
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -15,6 +15,7 @@
     target_work,
 )
 from balsamdeal.core.calls import Calls
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.placement import Placement
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
 from balsamdeal.core.replication import ConfigReplication
@@ -47,10 +48,11 @@
     ):
         random = Random(seed)
         self._own_domain = own_domain
+        self.link = LinkQueue(link_mbps)
         self.targets = TargetList()
         self.placement = Placement(self.targets, own_domain, own_node, random)
         self.calls = Calls(self.placement, random, repeat_share)
-        self.target_work = TargetWork(self.targets, own_node, limit_settle_s)
+        self.target_work = TargetWork(self.targets, own_node, limit_settle_s, self.link)
         self.replication = ConfigReplication(
             own_node, link_mbps, Random(seed + 1), self._apply_document
         )
@@ -175,4 +177,5 @@
 
     def is_idle(self):
         """Return whether all calls and all work have been answered."""
-        return not self.calls.calls and self.target_work.queue.is_idle()
+        is_busy = self.calls.calls or not self.target_work.queue.is_idle()
+        return not is_busy and self.link.is_idle()
--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -5,6 +5,7 @@
 events and effects: the shell keeps them under the IDs that events and effects carry.
 """
 
+import math
 from dataclasses import dataclass
 
 # Outcomes of work at a target's node.
@@ -18,6 +19,18 @@
 STOP_NOTICE_S = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class LinkReport:
+    """How busy a VM's own link is.
+
+    ``wait_s`` is how long it takes for the large answers that wait or are expected of
+    running work, in seconds; ``mbps`` is its bandwidth in Mbit/s.
+    """
+
+    wait_s: float
+    mbps: float
+
+
 @dataclass(frozen=True, slots=True)
 class NodeLoad:
     """The load of a target, which its node sends with each reply.
@@ -25,7 +38,7 @@
     ``busy`` counts running work and ``queued`` waiting work; ``limit`` is the number
     of concurrent runs. ``wait_s`` is the expected wait of work that arrives now,
     ``work_s`` the mean length of a run. ``stopping`` is set when the node is about to
-    stop.
+    stop. ``link`` is None unless large answers wait for the VM's link.
     """
 
     busy: int
@@ -34,6 +47,7 @@
     work_s: float
     wait_s: float
     stopping: bool
+    link: LinkReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +125,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptReplied:
-    """A target's node replied to an attempt."""
+    """A target's node replied to an attempt; ``answer_bytes`` is the answer's size."""
 
     attempt_id: int
     reply: WorkReply
     now_s: float
     notice: TargetNotice = NO_NOTICE
+    answer_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +163,7 @@
     ``time_left_s`` is the time until its deadline. ``objective_left_s`` is the time
     left to meet its latency objective, negative if that has passed. ``objective_s`` is
     the whole latency objective of its route. ``limit_report`` is what the sender knows
-    of the target's limit, or None.
+    of the target's limit, or None. ``local`` is set if its answer stays on this VM.
     """
 
     work_id: int
@@ -162,6 +177,7 @@
     objective_s: float
     now_s: float
     limit_report: LimitReport | None = None
+    local: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,6 +194,7 @@
 
     ``declined`` is set if the answer says that nothing ran, ``misdirected`` if another
     server holds the target's address, ``failed`` if the answer is a failure.
+    ``answer_bytes`` is the size of its body.
     """
 
     work_id: int
@@ -186,6 +203,7 @@
     failed: bool
     now_s: float
     notice: TargetNotice = NO_NOTICE
+    answer_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +287,7 @@
         effect.objective_s,
         now_s,
         effect.limit_report,
+        effect.local,
     )
 
 
@@ -337,10 +356,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyWork:
-    """Replies to the node that sent work."""
+    """Replies to the node that sent work; the reply should arrive by ``due_s``."""
 
     work_id: int
     reply: WorkReply
+    due_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -4,6 +4,9 @@
 target, or if the target itself reports that it ran nothing.
 """
 
+import math
+
+from balsamdeal.core.link_queue import UNLIMITED_LINK
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S, RateLimit
 from balsamdeal.core.request_events import (
     ANSWERED,
@@ -48,13 +51,17 @@
     :param own_node: the address of this node as other nodes reach it.
     :param limit_settle_s: how long after a target has first named a limit of requests
         operators expect it to hold.
+    :param link: the ``LinkQueue`` of the VM's own link.
     """
 
-    def __init__(self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S):
+    def __init__(
+        self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S, link=UNLIMITED_LINK
+    ):
         self.targets = targets
         self.own_node = own_node
         self.rate_limit = RateLimit(limit_settle_s)
-        self.queue = WorkQueue(DEFAULT_SLOTS, self.rate_limit)
+        self.link = link
+        self.queue = WorkQueue(DEFAULT_SLOTS, self.rate_limit, link)
         self.stop = None
         self.refuse_all = False
         self.listed_instances = set()
@@ -122,6 +129,7 @@
             queue.estimate_work_s(now_s),
             queue.estimate_wait_s(len(queue.waiting), now_s),
             self.stop is not None and self.stop.is_near(now_s),
+            self.queue.report_link(now_s),
         )
 
     def receive(self, event):
@@ -204,9 +212,10 @@
         return [decision, ReplyWork(event.work_id, reply)]
 
     def _reply(self, event, work_id, outcome, target_reached, reason, **details):
+        due_s = details.pop("due_s", math.inf)
         load = self.make_load(event.now_s)
         reply = WorkReply(outcome, target_reached, reason, load=load, **details)
-        return ReplyWork(work_id, reply)
+        return ReplyWork(work_id, reply, due_s)
 
     def _start_next(self, now_s):
         result = []
@@ -239,6 +248,7 @@
         item = self.queue.finish(event.work_id, event.now_s, not event.declined)
         if item is None:
             return []
+        self.queue.record_answer(item, event.answer_bytes)
         if not event.declined:
             self.last_answered_instance = item.event.instance
         decisions = self._record_notice(item, event)
@@ -270,6 +280,7 @@
                 "answered",
                 ran_s=event.now_s - item.started_s,
                 failed=event.failed,
+                due_s=item.event.now_s + item.event.objective_left_s,
             )
         return [*decisions, reply, *self._start_next(event.now_s)]
 
--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -10,7 +10,9 @@
 import math
 from dataclasses import dataclass, field
 
+from balsamdeal.core.link_queue import UNLIMITED_LINK, LinkQueue
 from balsamdeal.core.rate_limit import RateLimit
+from balsamdeal.core.request_events import LinkReport
 
 # Queued work is refused instead of started if its remaining time is below this share
 # of a mean run.
@@ -40,7 +42,7 @@
 # Queued work is refused after this multiple of the longest wait that admission allowed
 # for it: the target has become slow in the meantime.
 QUEUE_TIMEOUT_FACTOR = 2.0
-# Weight of the newest run in the moving mean of run lengths.
+# Weight of the newest answer in the moving means of run lengths and answer sizes.
 WORK_GAIN = 0.1
 # Assumed length of a run until one has ended.
 DEFAULT_WORK_S = 0.15
@@ -77,19 +79,23 @@
 
     ``running`` and ``waiting`` hold each ``WorkItem`` by its work ID. ``work_s`` is the
     moving mean of run lengths, 0 before the first run has ended; ``work_s_by_class``
-    holds that of each rank and objective. ``last_empty_s`` is the last arrival, by the
-    loop's time in seconds, that found no work waiting.
+    holds that of each rank and objective, ``answer_bytes_by_class`` their mean answer
+    sizes. ``last_empty_s`` is the last arrival, by the loop's time in seconds, that
+    found no work waiting.
 
     :param limit: the number of concurrent runs.
     :param rate_limit: the ``RateLimit`` of starts.
+    :param link: the ``LinkQueue`` of the VM's own link.
     """
 
     limit: int
     rate_limit: RateLimit
+    link: LinkQueue = UNLIMITED_LINK
     running: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
     work_s: float = 0.0
     work_s_by_class: dict = field(default_factory=dict)
+    answer_bytes_by_class: dict = field(default_factory=dict)
     last_empty_s: float = -math.inf
     _started_sum_s: float = 0.0
     _heap: list = field(default_factory=list)
@@ -142,12 +148,12 @@
         item = WorkItem(event, self._make_order(event), deadline_s, deadline_s)
         if not self.waiting:
             self.last_empty_s = event.now_s
-            if self.can_start(event.now_s):
+            if self.can_start(event.now_s) and not self._is_link_full(event):
                 return item, 0.0
         ahead = sum(other.order <= item.order for other in self.waiting.values())
         wait_s = self.estimate_wait_s(ahead, event.now_s)
         max_wait_s = self._get_max_wait_s(event)
-        if wait_s > max_wait_s:
+        if wait_s > max_wait_s or self._is_link_full(event):
             return None, self.suggest_retry_after_s(event)
         queue_deadline_s = event.now_s + QUEUE_TIMEOUT_FACTOR * max_wait_s
         item.queue_deadline_s = min(deadline_s, queue_deadline_s)
@@ -156,6 +162,48 @@
         heapq.heappush(self._heap, (item.order, self._arrivals, event.work_id))
         return item, wait_s
 
+    def record_answer(self, item, size):
+        """Update the mean answer size of work like this.
+
+        :param item: the ``WorkItem`` that has ended.
+        :param size: the size of its answer in bytes.
+        """
+        class_key = _get_class_key(item.event)
+        known = self.answer_bytes_by_class.get(class_key, size)
+        self.answer_bytes_by_class[class_key] = known + WORK_GAIN * (size - known)
+
+    def _get_large_answer_bytes(self, event):
+        """Return the expected size of an answer if it waits for the link, else 0."""
+        size = self.answer_bytes_by_class.get(_get_class_key(event), 0.0)
+        return size if self.link.is_large(size) and not event.local else 0.0
+
+    def report_link(self, now_s):
+        """Return the ``LinkReport``, or None if no large answer waits or is expected.
+
+        Running work is expected to have an answer of the usual size.
+        """
+        expected = sum(
+            self._get_large_answer_bytes(item.event) for item in self.running.values()
+        )
+        wait_s = self.link.estimate_wait_s(now_s, expected)
+        if not expected and self.link.find_next_s() is None:
+            return None
+        return LinkReport(wait_s, self.link.link_mbps)
+
+    def _is_link_full(self, event):
+        """Return whether the answer would wait for the link until its caller leaves.
+
+        Others that will be late are no reason to refuse work: they go last on the link.
+        """
+        size = self._get_large_answer_bytes(event)
+        if not size:
+            return False
+        report = self.report_link(event.now_s)
+        work_s = self._estimate_class_work_s(event)
+        left_s = event.time_left_s - 2 * work_s - self.link.estimate_transfer_s(size)
+        wait_s = report.wait_s - work_s if report else 0.0
+        return wait_s > max(0.0, left_s)
+
     def _estimate_class_work_s(self, event):
         """Return the expected run length of work of this rank and objective now."""
         usual_s = self.get_mean_work_s()
--- a/balsamdeal/net/following.py
+++ b/balsamdeal/net/following.py
@@ -204,4 +204,5 @@
         connection = self._pending_polls.pop(effect.exchange_id)
         body = wire.encode_poll_response(effect.response)
         self._shell.metrics.count("control_bytes", len(body))
+        self._shell.link_sender.record_sent(len(body))
         write_response(connection, "POST", 200, HTTPHeaders(), body)
--- /dev/null
+++ b/balsamdeal/net/link_sender.py
@@ -0,0 +1,73 @@
+"""Sends replies to other nodes in the order of a ``core.link_queue.LinkQueue``."""
+
+from balsamdeal.net.messages import begin_response, write_response
+
+
+class LinkSender:
+    """Sends small replies at once, and large ones in chunks as the link takes them.
+
+    :param loop: the event loop.
+    :param queue: the ``LinkQueue`` of the VM's own link.
+    """
+
+    def __init__(self, loop, queue):
+        self._loop = loop
+        self._queue = queue
+        self._pending = {}
+        self._last_id = 0
+        self._timer = None
+
+    def record_sent(self, size):
+        """Record bytes that are sent to other VMs on the way past this sender."""
+        self._queue.record_sent(size, self._loop.time())
+
+    def send(self, connection, headers, message, due_s):
+        """Send a complete reply; a connection that closes meanwhile ends it.
+
+        :param connection: the ``HTTP1Connection`` of tornado's server.
+        :param headers: ``HTTPHeaders``; Content-Length is added.
+        :param message: the body as bytes.
+        :param due_s: the loop's time, in seconds, by which it should arrive.
+        """
+        if not self._queue.is_large(len(message)):
+            self.record_sent(len(message))
+            write_response(connection, "POST", 200, headers, message)
+            return
+        if not begin_response(connection, 200, headers, len(message)):
+            return
+        self._last_id += 1
+        message_id = self._last_id
+        self._pending[message_id] = (connection, memoryview(message))
+        connection.set_close_callback(lambda: self._drop(message_id))
+        self._queue.add(message_id, len(message), due_s)
+        self._send_due()
+
+    def _drop(self, message_id):
+        if self._pending.pop(message_id, None) is not None:
+            self._queue.remove(message_id)
+
+    def _send_due(self):
+        """Send the chunks that are due, and wait for the next one."""
+        while chunk := self._queue.take_chunk(self._loop.time()):
+            self._send_chunk(*chunk)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        next_s = self._queue.find_next_s()
+        if next_s is not None:
+            self._timer = self._loop.call_at(next_s, self._send_due)
+
+    def _send_chunk(self, message_id, size):
+        connection, rest = self._pending[message_id]
+        connection.write(bytes(rest[:size]))
+        if len(rest) > size:
+            self._pending[message_id] = (connection, rest[size:])
+            return
+        del self._pending[message_id]
+        connection.finish()
+
+    def stop(self):
+        """Send nothing any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._pending.clear()
--- a/balsamdeal/net/messages.py
+++ b/balsamdeal/net/messages.py
@@ -107,11 +107,22 @@
     :param body: the body as bytes.
     :param reason: the reason phrase; None for the standard one of the status.
     """
+    chunk = None if method == "HEAD" else body
+    if begin_response(connection, status, headers, len(body), reason, chunk or None):
+        connection.finish()
+
+
+def begin_response(connection, status, headers, size, reason=None, chunk=None):
+    """Write the head of a response, and its first bytes if there are any yet.
+
+    :param size: the length of the body in bytes.
+    :param chunk: the first bytes of the body, or None.
+    :return: whether the connection is still open.
+    """
     if connection.stream is None or connection.stream.closed():
-        return
-    headers["Content-Length"] = str(len(body))
+        return False
+    headers["Content-Length"] = str(size)
     reason = reason or responses.get(status, "Unknown")
     line = ResponseStartLine("HTTP/1.1", status, reason)
-    chunk = None if method == "HEAD" else body
-    connection.write_headers(line, headers, chunk or None)
-    connection.finish()
+    connection.write_headers(line, headers, chunk)
+    return True
--- a/balsamdeal/net/node_codec.py
+++ b/balsamdeal/net/node_codec.py
@@ -19,6 +19,7 @@
     NOT_RUN,
     UNKNOWN,
     LimitReport,
+    LinkReport,
     NodeLoad,
     WorkReceived,
     WorkReply,
@@ -31,6 +32,8 @@
 # seconds. It is none of the head's fields, whose number is fixed, so that nodes of an
 # earlier release skip it.
 LIMIT_HEADER = "Target-Limit"
+# Header of a reply that carries a ``LinkReport``: milliseconds and Mbit/s.
+LINK_HEADER = "Node-Link"
 # Nodes address each other by IP and port, but HTTP/1.1 requires a Host header.
 PLACEHOLDER_HOST = "n"
 OUTCOMES = (ANSWERED, NOT_RUN, UNKNOWN)
@@ -75,6 +78,23 @@
     return LimitReport(*values)
 
 
+def make_reply_headers(reply):
+    """Return the HTTP headers of the message that carries a ``WorkReply``."""
+    link = reply.load.link
+    if link is None:
+        return HTTPHeaders()
+    return HTTPHeaders({LINK_HEADER: f"{link.wait_s * 1000:.0f} {link.mbps:g}"})
+
+
+def _decode_link_report(http_headers):
+    """Return the ``LinkReport``, or None where the header is missing or malformed."""
+    words = http_headers.get(LINK_HEADER, "").split()
+    values = [parse_rate(word) for word in words]
+    if len(values) != 2 or None in values or not values[1]:
+        return None
+    return LinkReport(values[0] / 1000, values[1])
+
+
 def _encode_json(values):
     return json.dumps(values, separators=(",", ":")).encode()
 
@@ -223,11 +243,12 @@
         head += [answer.status, answer.reason, pairs]
         return self._encode(head, answer.body)
 
-    def decode_reply(self, message, peer, request_id):
+    def decode_reply(self, message, peer, request_id, http_headers):
         """Return the ``WorkReply``, and the target's ``Answer`` or None.
 
         :param peer: the address of the node that sent it, for errors.
         :param request_id: the id of the request, for the header that echoes it.
+        :param http_headers: the HTTP headers of the message.
         :raises ExchangeError: when the message is not a valid reply.
         """
         try:
@@ -255,6 +276,7 @@
                 work_ms / 1000,
                 wait_ms / 1000,
                 bool(stopping),
+                _decode_link_report(http_headers),
             )
             reply = WorkReply(
                 OUTCOMES[outcome],
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -28,6 +28,7 @@
 from balsamdeal.net.connections import ConnectionPool, Exchange
 from balsamdeal.net.control import Control
 from balsamdeal.net.following import POLL_PATH, ConfigReplicator
+from balsamdeal.net.link_sender import LinkSender
 from balsamdeal.net.messages import (
     HOP_BY_HOP_HEADERS,
     Answer,
@@ -36,7 +37,11 @@
     make_headers,
     write_response,
 )
-from balsamdeal.net.node_codec import NodeCodec, make_work_headers
+from balsamdeal.net.node_codec import (
+    NodeCodec,
+    make_reply_headers,
+    make_work_headers,
+)
 from balsamdeal.net.request_reader import KeepaliveServer, RequestServer
 from balsamdeal.net.tasks import Tasks
 
@@ -112,6 +117,7 @@
         self.target_pool = ConnectionPool(
             MAX_ANSWER_BYTES, True, NON_IDEMPOTENT_IDLE_S, MAX_ANSWERS_BYTES
         )
+        self.link_sender = LinkSender(self.loop, self.proxy.link)
         self.stopping = False
         self.control = Control(self)
         self.replicator = ConfigReplicator(self)
@@ -204,6 +210,7 @@
     def stop(self):
         """Close the servers and connections, and cancel all tasks."""
         self.replicator.stop()
+        self.link_sender.stop()
         for server in self.servers:
             server.stop()
         self.tasks.cancel()
@@ -331,6 +338,7 @@
 
     async def _exchange_attempt(self, effect, payload, exchange):
         message = self.codec.encode_work(effect, self.settings.service, payload)
+        self.link_sender.record_sent(len(message))
         try:
             response = await self.peer_pool.fetch(
                 effect.node_address,
@@ -348,7 +356,7 @@
                 )
             request_id = payload.get_header(self.names.request_id)
             reply, answer = self.codec.decode_reply(
-                response.body, effect.node_address, request_id
+                response.body, effect.node_address, request_id, response.headers
             )
         except ExchangeError as error:
             self._attempts.pop(effect.attempt_id, None)
@@ -365,11 +373,14 @@
         self._handle_reply(effect.attempt_id, reply, answer)
 
     def _handle_reply(self, attempt_id, reply, answer):
-        notice = request_events.NO_NOTICE
+        notice, size = request_events.NO_NOTICE, 0
         if answer is not None:
             notice = read_notice(answer.headers, self.names)
+            size = len(answer.body)
         now_s = self.loop.time()
-        self.handle(request_events.AttemptReplied(attempt_id, reply, now_s, notice))
+        self.handle(
+            request_events.AttemptReplied(attempt_id, reply, now_s, notice, size)
+        )
 
     def _store_answer(self, call_id, attempt_id, answer):
         if call_id not in self._calls:
@@ -478,6 +489,7 @@
                 status >= 500,
                 self.loop.time(),
                 read_notice(work.answer.headers, self.names),
+                len(response.body),
             )
         )
 
@@ -500,7 +512,8 @@
             return
         answer = work.answer if reply.outcome == request_events.ANSWERED else None
         message = self.codec.encode_reply(reply, answer, work.request_id)
-        write_response(work.connection, "POST", 200, HTTPHeaders(), message)
+        headers = make_reply_headers(reply)
+        self.link_sender.send(work.connection, headers, message, effect.due_s)
 
     def _finish_local_work(self, work, reply):
         attempt_id = work.attempt_id
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -2,11 +2,13 @@
 
 The reducers are real, targets and callers are fakes. Targets have slots, speeds and
 service times with a tail; callers retry after the delay of a refusal, until their
-deadline.
+deadline. The link of a VM carries the messages that it sends to other VMs; each of
+them has a window of bytes on the link at a time, as with TCP.
 """
 
 import heapq
 import itertools
+from collections import deque
 from dataclasses import dataclass, field
 from random import Random
 
@@ -18,11 +20,16 @@
 SAME_DOMAIN_DELAY_S = 0.0002
 OTHER_DOMAIN_DELAY_S = 0.0009
 CALLER_DELAY_S = 0.008
+WINDOW_BYTES = 65_536
+SMALL_REPLY_BYTES = 300
 
 
 @dataclass
 class Load:
-    """Callers of one route at one node: a Poisson process between two times."""
+    """Callers of one route at one node: a Poisson process between two times.
+
+    ``answer_bytes`` is the mean size of an answer.
+    """
 
     node: str
     path: str
@@ -32,6 +39,7 @@
     from_s: float = 0.0
     until_s: float = 1e9
     retries: int = 2
+    answer_bytes: float = SMALL_REPLY_BYTES
 
 
 @dataclass
@@ -67,34 +75,82 @@
     starts: list = field(default_factory=list)
 
 
+class FakeLink:
+    """The sending direction of a VM's link: windows of messages in turn.
+
+    :param fleet: the ``QueueingFleet``.
+    :param mbps: the bandwidth in Mbit/s.
+    """
+
+    def __init__(self, fleet, mbps):
+        self._fleet = fleet
+        self._bytes_per_s = mbps * 1e6 / 8
+        self._windows = deque()
+        self._is_busy = False
+        self.bytes = 0
+
+    def send(self, size, action, *arguments):
+        """Send a message; the action follows its last byte."""
+        self._windows.append((size, action, arguments))
+        if not self._is_busy:
+            self._send_window()
+
+    def _send_window(self):
+        self._is_busy = bool(self._windows)
+        if self._is_busy:
+            size, action, arguments = self._windows.popleft()
+            sent = min(size, WINDOW_BYTES)
+            self.bytes += sent
+            at_s = self._fleet.now_s + sent / self._bytes_per_s
+            self._fleet.at(at_s, self._end_window, size - sent, action, arguments)
+
+    def _end_window(self, remaining, action, arguments):
+        if remaining:
+            self._windows.append((remaining, action, arguments))
+        else:
+            action(*arguments)
+        self._send_window()
+
+
 class QueueingFleet:
     """Nodes in failure domains, with one target each, and their callers.
 
-    :param layout: a list of (domain, service, slots, speed), one for each node.
+    :param layout: a list of (domain, service, slots, speed), one for each node, each
+        with the Mbit/s of its link if that is limited.
     :param routes: the routes of all nodes.
     :param seed: the seed of arrivals, service times and choices.
+    :param knows_links: whether nodes know the bandwidth of their links.
     """
 
-    def __init__(self, layout, routes, seed=1):
+    def __init__(self, layout, routes, seed=1, knows_links=True):
         self.now_s = 0.0
         self.random = Random(seed)
         self.requests = []
         self.decisions = []
         self.attempts = 0
         self.crossings = 0
+        self.crossing_bytes = 0
+        self.links = {}
+        self._knows_links = knows_links
+        self._answer_bytes = {}
         # When a node first passed on an answer with a notice, by (node, target's node).
         self.told_at_s = {}
         self._heap = []
         self._order = itertools.count()
         self._ids = itertools.count(1)
         self._timers = {}
+        # Large answers on their way: by work id, and the next chunk of each node.
+        self._chunked = {}
+        self._sent_bytes = {}
+        self._next_chunks_s = {}
         self._calls = {}
         self._work = {}
         self.nodes = {}
         self.domains = {}
         self.targets = {}
+        self.services = {}
         self.entries = entries = []
-        for index, (domain, service, slots, speed) in enumerate(layout):
+        for index, (domain, service, slots, speed, *mbps) in enumerate(layout):
             name = f"t{index}"
             address = f"node-{name}"
             entries.append(
@@ -106,8 +162,14 @@
                 )
             )
             self.domains[address] = domain
+            self.services[address] = service
             self.targets[address] = FakeTarget(address, slots, speed)
-            self.nodes[address] = Proxy(address, domain, seed * 1000 + index)
+            if mbps:
+                self.links[address] = FakeLink(self, *mbps)
+            link_mbps = mbps[0] if mbps and knows_links else None
+            self.nodes[address] = Proxy(
+                address, domain, seed * 1000 + index, link_mbps=link_mbps
+            )
         self.configuration = make_configuration(1, *routes)
         for proxy in self.nodes.values():
             self._prepare(proxy)
@@ -263,21 +325,59 @@
 
     def _reply(self, node, effect):
         self._clear_timer("work", effect.work_id)
-        origin, _, attempt_id, _ = self._work.pop(effect.work_id, (None,) * 4)
-        if origin is not None:
-            at_s = self.now_s + self._delay_s(origin, node)
-            notice = request_events.NO_NOTICE
-            if effect.reply.outcome == request_events.ANSWERED:
-                notice = self.targets[node].notice
-                if notice.has_limit or notice.leaving:
-                    self.told_at_s.setdefault((origin, node), at_s)
-            self.at(at_s, self._handle_reply, origin, attempt_id, effect.reply, notice)
-
-    def _handle_reply(self, origin, attempt_id, reply, notice):
-        self.handle(
-            origin,
-            request_events.AttemptReplied(attempt_id, reply, self.now_s, notice),
+        work = self._work.pop(effect.work_id, None)
+        size = self._answer_bytes.pop(effect.work_id, SMALL_REPLY_BYTES)
+        if work is None:
+            return
+        origin = work[0]
+        if effect.reply.outcome != request_events.ANSWERED:
+            size = SMALL_REPLY_BYTES
+        if origin == node or node not in self.links:
+            self._deliver_reply(node, work, effect.reply, size)
+            return
+        queue = self.nodes[node].link
+        if queue.is_large(size):
+            queue.add(effect.work_id, size, effect.due_s)
+            self._chunked[effect.work_id] = (work, effect.reply, size)
+            self._send_chunks(node)
+            return
+        queue.record_sent(size, self.now_s)
+        self.links[node].send(size, self._deliver_reply, node, work, effect.reply, size)
+
+    def _send_chunks(self, node):
+        """Send the chunks of large answers that are due, and set a timer for more."""
+        queue = self.nodes[node].link
+        while chunk := queue.take_chunk(self.now_s):
+            work_id, size = chunk
+            work, reply, total = self._chunked[work_id]
+            self._sent_bytes[work_id] = self._sent_bytes.get(work_id, 0) + size
+            if self._sent_bytes[work_id] < total:
+                self.links[node].send(size, lambda: None)
+                continue
+            del self._chunked[work_id], self._sent_bytes[work_id]
+            self.links[node].send(size, self._deliver_reply, node, work, reply, total)
+        at_s = queue.find_next_s()
+        if at_s is not None and self._next_chunks_s.get(node) != at_s:
+            self._next_chunks_s[node] = at_s
+            self.at(at_s, self._send_chunks, node)
+
+    def _deliver_reply(self, node, work, reply, size):
+        origin, _, attempt_id, _ = work
+        at_s = self.now_s + self._delay_s(origin, node)
+        notice = request_events.NO_NOTICE
+        if self.domains[origin] != self.domains[node]:
+            self.crossing_bytes += size
+        if reply.outcome == request_events.ANSWERED:
+            notice = self.targets[node].notice
+            if notice.has_limit or notice.leaving:
+                self.told_at_s.setdefault((origin, node), at_s)
+        self.at(at_s, self._handle_reply, origin, attempt_id, reply, notice, size)
+
+    def _handle_reply(self, origin, attempt_id, reply, notice, size):
+        event = request_events.AttemptReplied(
+            attempt_id, reply, self.now_s, notice, size
         )
+        self.handle(origin, event)
 
     # Targets
 
@@ -299,11 +399,21 @@
     def _end_run(self, node, work_id):
         target = self.targets[node]
         if target.running.pop(work_id, None):
+            size = self._draw_answer_bytes(work_id)
             event = request_events.TargetReplied(
-                work_id, False, False, target.broken, self.now_s, target.notice
+                work_id, False, False, target.broken, self.now_s, target.notice, size
             )
             self.handle(node, event)
 
+    def _draw_answer_bytes(self, work_id):
+        request = self._calls.get(self._work[work_id][3])
+        mean = request.load.answer_bytes if request else SMALL_REPLY_BYTES
+        if mean == SMALL_REPLY_BYTES:
+            return SMALL_REPLY_BYTES
+        size = mean * self.random.lognormvariate(-0.18, 0.6)
+        self._answer_bytes[work_id] = int(min(size, 6 * mean))
+        return self._answer_bytes[work_id]
+
     def _cancel_work(self, node, effect):
         self._clear_timer("work", effect.work_id)
         self.targets[node].running.pop(effect.work_id, None)
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from balsamdeal.core.placement import MAX_COMPARED, PROBE_AFTER_S, Placement
-from balsamdeal.core.request_events import NodeLoad, TargetNotice
+from balsamdeal.core.request_events import LinkReport, NodeLoad, TargetNotice
 from balsamdeal.core.targets import TargetList
 from tests.core.test_routes import make_configuration, make_route
 from tests.core.test_targets import make_target
@@ -35,9 +35,11 @@
         for name in ("n0", "n1", "f0", "f1"):
             self.report(name, busy.get(name, 0))
 
-    def choose(self, now_s=0.0, excluded=(), objective_s=0.5, rank=2):
+    def choose(self, now_s=0.0, excluded=(), objective_s=0.5, rank=2, time_left_s=0.0):
         route = make_route("r", "/", rank=rank)
-        return self.placement.choose("desk", set(excluded), route, objective_s, now_s)
+        return self.placement.choose(
+            "desk", set(excluded), route, objective_s, now_s, time_left_s
+        )
 
     def choose_repeatedly(self, **options):
         return {self.choose(**options).instance for _ in range(40)}
@@ -60,6 +62,36 @@
             self.report(name, 10, 28)
         self.assertLessEqual(self.choose_repeatedly(), {"n0", "n1"})
 
+    def report_links(self, **wait_s):
+        """Report links of 3.5 Mbit/s, and answers of 90 KB of the route ``r``."""
+        for name, link_wait_s in wait_s.items():
+            link = LinkReport(link_wait_s, 3.5)
+            load = NodeLoad(1, 0, 10, 0.1, 0.0, False, link)
+            self.placement.record_load(self.targets.targets[name], load, 0.0)
+        self.placement.record_run(self.targets.targets["n0"], "r", 0.1, 90_000)
+
+    def test_large_answer_comes_from_the_target_whose_link_is_free(self):
+        self.report_links(n0=0.0, n1=1.2, f0=0.0, f1=0.0)
+        chosen = self.choose_repeatedly(excluded={("n0", None)}, time_left_s=5.0)
+        self.assertEqual(chosen, {"n1"})
+        self.placement.own_node = "node-f0"
+        self.assertEqual(self.choose_repeatedly(objective_s=1.0), {"n0"})
+
+    def test_own_target_needs_no_link(self):
+        self.report_links(n0=3.0, n1=0.0)
+        self.assertEqual(self.choose_repeatedly(objective_s=1.0), {"n0"})
+
+    # Guards against large answers that cross domains for being a little late.
+    def test_large_answer_stays_near_until_half_of_its_time_is_at_risk(self):
+        self.report_links(n0=1.0, n1=1.0, f0=0.0, f1=0.0)
+        self.placement.own_node = "node-none"
+        for time_left_s, expected in ((5.0, "n"), (1.5, "f")):
+            with self.subTest(time_left_s=time_left_s):
+                chosen = self.choose_repeatedly(
+                    objective_s=1.0, time_left_s=time_left_s
+                )
+                self.assertEqual({name[0] for name in chosen}, {expected})
+
     def test_local_target_is_chosen_while_it_has_room(self):
         self.report_all()
         self.assertEqual(self.choose_repeatedly(), {"n0"})
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -3,6 +3,7 @@
 import unittest
 
 from balsamdeal.core import request_events
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.request_events import TargetNotice
 from balsamdeal.core.target_work import LEAVING_GRACE_S, START_TIMER, TargetWork
 from balsamdeal.core.targets import TargetList
@@ -69,6 +70,24 @@
         self.assertEqual(self.get_started_ids(self.receive(3)), [])
         self.assertEqual(self.get_started_ids(self.end(1, 0.02)), [3])
 
+    # Guards against runs whose answers cannot leave the VM before callers give up.
+    def test_large_answer_that_the_link_cannot_carry_in_time_is_refused(self):
+        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(3.5))
+        self.list_target(2, slots=2)
+        self.receive(1)
+        reply = self.filter_effects(
+            self.end(1, 0.1, answer_bytes=90_000), request_events.ReplyWork
+        )[0].reply
+        self.assertIsNone(reply.load.link)
+        self.target_work.link.add("x", 400_000, 0.0)
+        self.assertEqual(self.get_started_ids(self.receive(2, 0.2)), [2])
+        self.target_work.link.add("y", 400_000, 0.0)
+        effects = self.receive(3, 0.2)
+        self.assertEqual(self.get_outcomes(effects), [(3, request_events.NOT_RUN)])
+        reply = self.filter_effects(effects, request_events.ReplyWork)[0].reply
+        self.assertGreater(reply.load.link.wait_s, 1.5)
+        self.assertEqual(self.get_started_ids(self.receive(4, 0.2, local=True)), [4])
+
     def test_work_with_too_long_a_wait_is_refused_on_arrival(self):
         self.fill_slots()
         self.target_work.queue.work_s = 0.4
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -5,15 +5,23 @@
 from dataclasses import replace
 
 from balsamdeal.core import request_events
-from balsamdeal.core.request_events import LimitReport, NodeLoad, SendAttempt, WorkReply
+from balsamdeal.core.request_events import (
+    LimitReport,
+    LinkReport,
+    NodeLoad,
+    SendAttempt,
+    WorkReply,
+)
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net.messages import Answer, HeaderNames, Payload
 from balsamdeal.net.node_codec import (
     FORMAT_VERSION,
     HEAD_PREFIX,
     LIMIT_HEADER,
+    LINK_HEADER,
     WINDOW_BITS,
     NodeCodec,
+    make_reply_headers,
     make_work_headers,
 )
 
@@ -97,14 +105,27 @@
         answer = make_answer()
         message = self.codec.encode_reply(reply, answer, REQUEST_ID)
         self.assertEqual(
-            self.codec.decode_reply(message, "peer", REQUEST_ID), (reply, answer)
+            self.codec.decode_reply(message, "peer", REQUEST_ID, {}), (reply, answer)
         )
 
+    def test_link_report_travels_beside_the_head(self):
+        for link in (LinkReport(0.25, 3.5), LinkReport(0.0, 70.0), None):
+            load = replace(LOAD, link=link)
+            reply = WorkReply(request_events.ANSWERED, True, "", load=load)
+            message = self.codec.encode_reply(reply, make_answer(), REQUEST_ID)
+            headers = make_reply_headers(reply)
+            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers)
+            self.assertEqual(decoded, reply)
+        for text in ("", "4", "x 1", "4 -1", "4 1 1", "nan 1", "5 0"):
+            headers = {LINK_HEADER: text}
+            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers)
+            self.assertIsNone(decoded.load.link)
+
     def test_answer_without_request_id_gets_none(self):
         reply = WorkReply(request_events.ANSWERED, True, "", load=LOAD)
         answer = make_answer(headers=(("Seal", "1"),))
         message = self.codec.encode_reply(reply, answer, REQUEST_ID)
-        _, decoded = self.codec.decode_reply(message, "peer", REQUEST_ID)
+        _, decoded = self.codec.decode_reply(message, "peer", REQUEST_ID, {})
         self.assertEqual(decoded, answer)
 
     def test_refusal_round_trip(self):
@@ -118,7 +139,7 @@
         )
         message = self.codec.encode_reply(reply, None, REQUEST_ID)
         self.assertEqual(
-            self.codec.decode_reply(message, "peer", REQUEST_ID), (reply, None)
+            self.codec.decode_reply(message, "peer", REQUEST_ID, {}), (reply, None)
         )
 
     def test_message_is_smaller_than_plain_headers(self):
@@ -144,8 +165,8 @@
         )
         for message, other in ((longer[1], answered), (longer[2], refused)):
             self.assertEqual(
-                self.codec.decode_reply(message, "peer", REQUEST_ID),
-                self.codec.decode_reply(other, "peer", REQUEST_ID),
+                self.codec.decode_reply(message, "peer", REQUEST_ID, {}),
+                self.codec.decode_reply(other, "peer", REQUEST_ID, {}),
             )
 
     def test_malformed_message_is_refused(self):
@@ -170,7 +191,7 @@
                     self.codec.decode_work(message, 1, 0.0, {})
                 self.assertFalse(caught.exception.written)
                 with self.assertRaises(ExchangeError) as caught:
-                    self.codec.decode_reply(message, "peer", REQUEST_ID)
+                    self.codec.decode_reply(message, "peer", REQUEST_ID, {})
                 self.assertTrue(caught.exception.written)
 
     def test_head_that_inflates_over_the_limit_is_refused(self):
