--- a/tests/core/replication_fleet.py
+++ b/tests/core/replication_fleet.py
@@ -13,6 +13,7 @@
 from random import Random
 
 from balsamdeal.core import effects, events, replication_messages
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.replication import ConfigReplication
 from balsamdeal.documents import CONFIG, build_document
 from balsamdeal.errors import ContentError
@@ -86,6 +87,7 @@
         self.source_fault = None
         self.slow_s = 0.0
         self.corrupts_deltas = False
+        self.link_queue = LinkQueue(None)
         self.replication = None
         self.reader = None
         self.inbox = []
@@ -334,6 +336,37 @@
             ended_s = max(ended_s, receiver.down.enqueue(began_s, size)[1])
         return ended_s + self.random.uniform(LATENCY_S, MAX_LATENCY_S)
 
+    def fill_links(self, share, mean_bytes, knows_links=True):
+        """Let each node send large answers to callers on other VMs from now on.
+
+        :param share: the share of each link that they take.
+        :param mean_bytes: their mean size.
+        :param knows_links: whether nodes know the bandwidth of their links.
+        """
+        for node in self.nodes.values():
+            node.link_queue = LinkQueue(node.mbps if knows_links else None)
+            per_s = share * node.mbps * 1e6 / 8 / mean_bytes
+            self._send_large_answer(node, per_s, mean_bytes, True)
+
+    def _send_large_answer(self, node, per_s, mean_bytes, is_first=False):
+        at_s = self.now_s + self.random.expovariate(per_s)
+        self.at(at_s, self._send_large_answer, node, per_s, mean_bytes)
+        size = int(mean_bytes * self.random.lognormvariate(-0.18, 0.6))
+        if is_first:
+            return
+        if not node.link_queue.is_large(size):
+            node.up.enqueue(self.now_s, size)
+            return
+        node.link_queue.add(next(self._numbers), size, self.now_s + 1.0)
+        self._send_chunks(node)
+
+    def _send_chunks(self, node):
+        while chunk := node.link_queue.take_chunk(self.now_s):
+            node.up.enqueue(self.now_s, chunk[1])
+        at_s = node.link_queue.find_next_s()
+        if at_s is not None and at_s > self.now_s:
+            self.at(at_s, self._send_chunks, node)
+
     # Exchanges
 
     def _open_exchange(self, caller, peer, timeout_s, on_answer, on_failure):
@@ -427,6 +460,7 @@
             size += self._measure(answer.delta)
             if node.corrupts_deltas:
                 answer = replace(answer, delta=self._corrupt(answer.delta))
+        node.link_queue.record_sent(size, self.now_s)
         delay_s = self.message_delay_s + node.slow_s
         arrival_s = self._transfer(node, exchange.caller, size) + delay_s
         self.at(arrival_s, self._finish, exchange, lambda: exchange.on_answer(answer))
--- a/tests/core/test_replication.py
+++ b/tests/core/test_replication.py
@@ -508,6 +508,39 @@
                 self.check_in_force(fleet, revision)
 
 
+class FullLinksTest(FleetTest):
+    """Links carry large answers of targets beside versions.
+
+    Guards against versions that wait behind such answers on each hop, so that routes
+    that were added get 404 for seconds.
+    """
+
+    ANSWER_BYTES = 90_000
+    SHARE = 0.8
+
+    def measure_late(self, seed, knows_links=True):
+        """Return the share of deliveries that came too late."""
+        fleet = start_fleet(FLEET, seed)
+        fleet.fill_links(self.SHARE, self.ANSWER_BYTES, knows_links)
+        fleet.run(5.0)
+        revisions = []
+        for _ in range(5):
+            revisions.append(fleet.write())
+            fleet.run(1.12)
+        fleet.run(3.0)
+        late = [
+            fleet.measure_delay_s(revision, [address]) > IN_FORCE_S
+            for revision in revisions
+            for address in fleet.nodes
+        ]
+        return sum(late) / len(late)
+
+    def test_versions_are_in_time_over_links_that_large_answers_fill(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(self.measure_late(seed), 0.0)
+
+
 class RecoveryTest(FleetTest):
     """Nodes and the source recover from faults."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -180,6 +180,46 @@
         # A version must be in force within two seconds of its write.
         self.assertLess(asyncio.get_running_loop().time() - started_s, 2.0)
 
+    # Guards against calls that wait for an answer which an outage has swallowed, while
+    # the store is back: a version or a leaving target would be noticed too late.
+    async def test_calls_of_the_last_moments_of_a_silent_outage_end_soon(self):
+        self.put_configuration(3)
+        await self.read_configuration(0, 0.0)
+        revision = (await self.reader.read_targets()).revision
+        self.store.fault = "silent"
+        calls = [
+            asyncio.ensure_future(self.reader.read_configuration(3, WATCH_WAIT_S)),
+            asyncio.ensure_future(self.reader.watch_targets(revision, WATCH_TIMEOUT_S)),
+        ]
+        await asyncio.sleep(0.05)
+        self.store.fault = None
+        self.put_configuration(4)
+        self.put_servers(1)
+        began_s = asyncio.get_running_loop().time()
+        for call in calls:
+            with self.assertRaises(SourceError):
+                await call
+        # A node counts as undisturbed three seconds after the last fault.
+        self.assertLess(asyncio.get_running_loop().time() - began_s, 3.0)
+        self.assertEqual(await self.read_configuration(3), (4, 4))
+        self.assertEqual(len((await self.reader.read_targets()).entries), 1)
+
+    # Guards against idle connections that went silent for good with the one that was
+    # found silent: each of them would cost another time-out.
+    async def test_one_silent_connection_closes_the_idle_ones(self):
+        self.put_configuration(3)
+        await asyncio.gather(
+            *[self.reader.read_targets() for _ in range(4)],
+            self.read_configuration(0, 0.0),
+        )
+        idle = self.reader._pool._idle[self.store.address]
+        self.assertGreater(len(idle), 2)
+        self.store.fault = "silent"
+        revision = self.store.revision
+        with self.assertRaises(SourceError):
+            await self.reader.watch_targets(revision, 0.1)
+        self.assertNotIn(self.store.address, self.reader._pool._idle)
+
     async def test_lost_answer_to_a_target_watch_times_out_soon(self):
         revision = (await self.reader.read_targets()).revision
         self.store.fault = "silent"
