Bound the memory of answers that wait for a VM's link

Would be seen by callers: a node that is killed for its memory. Answers to patient callers were accepted as long as they leave before the callers do; at 60 s and 50 Mbit/s that is 375 MB, and small VMs have 128.

Red before: test_large_answers_are_refused_while_many_bytes_wait_for_the_link (the work was started). A second test holds that a stopping node waits for answers on the link; it passes since the link is part of what is in flight.

--- a/balsamdeal/core/link_queue.py
+++ b/balsamdeal/core/link_queue.py
@@ -84,6 +84,10 @@
         """Return when the next chunk is due, or None if no message waits."""
         return self._idle_from_s if self._remaining else None
 
+    def count_bytes(self):
+        """Return the bytes of all large messages that have not been sent."""
+        return sum(self._remaining.values())
+
     def is_idle(self):
         """Return whether no large message waits."""
         return not self._remaining
@@ -99,7 +103,7 @@
         """
         if self.link_mbps is None:
             return 0.0
-        size = sum(self._remaining.values()) + further_bytes
+        size = self.count_bytes() + further_bytes
         return max(0.0, self._idle_from_s - now_s) + size / self._bytes_per_s
 
 
--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -42,6 +42,9 @@
 # Queued work is refused after this multiple of the longest wait that admission allowed
 # for it: the target has become slow in the meantime.
 QUEUE_TIMEOUT_FACTOR = 2.0
+# Answers that wait for the VM's link take this much memory at most, about a third of
+# what small VMs have left beside a node.
+MAX_WAITING_BYTES = 25_165_824
 # Weight of the newest answer in the moving means of run lengths and answer sizes.
 WORK_GAIN = 0.1
 # Assumed length of a run until one has ended.
@@ -193,11 +196,13 @@
     def _is_link_full(self, event):
         """Return whether the answer would wait for the link until its caller leaves.
 
-        Others that will be late are no reason to refuse work: they go last on the link.
+        So it is if answers that wait take much memory. Others that will be late are no reason to refuse work: they go last on the link.
         """
         size = self._get_large_answer_bytes(event)
         if not size:
             return False
+        if self.link.count_bytes() > MAX_WAITING_BYTES:
+            return True
         report = self.report_link(event.now_s)
         work_s = self._estimate_class_work_s(event)
         left_s = event.time_left_s - 2 * work_s - self.link.estimate_transfer_s(size)
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -7,6 +7,7 @@
 from balsamdeal.core.request_events import TargetNotice
 from balsamdeal.core.target_work import LEAVING_GRACE_S, START_TIMER, TargetWork
 from balsamdeal.core.targets import TargetList
+from balsamdeal.core.work_queue import MAX_WAITING_BYTES
 from tests.core.test_targets import make_target
 
 
@@ -88,6 +89,20 @@
         self.assertGreater(reply.load.link.wait_s, 1.5)
         self.assertEqual(self.get_started_ids(self.receive(4, 0.2, local=True)), [4])
 
+    # Guards against answers that wait for the link and take all memory of a VM, as their
+    # callers are patient.
+    def test_large_answers_are_refused_while_many_bytes_wait_for_the_link(self):
+        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(50.0))
+        self.list_target(2, slots=2)
+        patient = {"time_left_s": 60.0}
+        self.receive(1, **patient)
+        self.end(1, 0.1, answer_bytes=600_000)
+        self.target_work.link.add("x", MAX_WAITING_BYTES - 600_000, 0.0)
+        self.assertEqual(self.get_started_ids(self.receive(2, 0.2, **patient)), [2])
+        self.target_work.link.add("y", 600_001, 0.0)
+        effects = self.receive(3, 0.2, **patient)
+        self.assertEqual(self.get_outcomes(effects), [(3, request_events.NOT_RUN)])
+
     def test_work_with_too_long_a_wait_is_refused_on_arrival(self):
         self.fill_slots()
         self.target_work.queue.work_s = 0.4
--- a/tests/test_proxydaemon.py
+++ b/tests/test_proxydaemon.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from balsamdeal.core import request_events
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.net.proxying import ProxyShell
 from balsamdeal.proxydaemon import KILL_MARGIN_S, LINGER_S, REFUSE_S, drain
 from tests.net.test_proxying import NAMES, make_settings
@@ -63,6 +64,17 @@
         self.assertAlmostEqual(self.now_s, bound_s, delta=0.1)
         self.assertTrue(self.shell.proxy.calls.refuse_all)
 
+    # Guards against answers that are cut off by the end of the process, as they still
+    # wait for the VM's link.
+    async def test_drain_waits_for_answers_on_their_way(self):
+        self.schedule_probes(0.3)
+        link = self.shell.proxy.link = LinkQueue(3.5)
+        link.add("a", 90_000, 0.0)
+        self.actions.append((3.0, lambda: link.remove("a")))
+        await drain(self.shell, self.sleep)
+        self.assertGreaterEqual(self.now_s, 3.0)
+        self.assertLess(self.now_s, 3.5)
+
     async def test_drain_sends_stop_request_to_reducer(self):
         self.schedule_probes(0.3)
         await drain(self.shell, self.sleep)
