--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -196,7 +196,8 @@
     def _is_link_full(self, event):
         """Return whether the answer would wait for the link until its caller leaves.
 
-        So it is if answers that wait take much memory. Others that will be late are no reason to refuse work: they go last on the link.
+        So it is if answers that wait take much memory. Others that will be late are no
+        reason to refuse work: they go last on the link.
         """
         size = self._get_large_answer_bytes(event)
         if not size:
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -89,8 +89,8 @@
         self.assertGreater(reply.load.link.wait_s, 1.5)
         self.assertEqual(self.get_started_ids(self.receive(4, 0.2, local=True)), [4])
 
-    # Guards against answers that wait for the link and take all memory of a VM, as their
-    # callers are patient.
+    # Guards against answers to patient callers that wait for the link and take all
+    # memory of a VM.
     def test_large_answers_are_refused_while_many_bytes_wait_for_the_link(self):
         self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(50.0))
         self.list_target(2, slots=2)
