Log large replies that wait for the link

On-call could not tell from logs that an answer had waited for the link of its target's VM. The node in front of the target now writes a line for each large reply (request, bytes, milliseconds, what else waits), and another message for one whose receiver left; `work refused` carries how long the link is taken (link_ms); counters large_replies, large_replies_dropped and large_reply_ms. The lines are routine, so a full log leaves them out first.

A test with two processes on links of 8 Mbit/s checks that large answers of another VM arrive whole, each at its own caller, and are logged.

--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -195,6 +195,7 @@
                 "queued": load.queued,
                 "limit": load.limit,
                 "limit_per_s": self.rate_limit.per_s,
+                "link_ms": round(load.link.wait_s * 1000) if load.link else None,
                 "work_ms": round(load.work_s * 1000),
                 "objective_left_ms": round(event.objective_left_s * 1000),
                 "time_left_ms": round(event.time_left_s * 1000),
--- a/balsamdeal/net/link_sender.py
+++ b/balsamdeal/net/link_sender.py
@@ -8,11 +8,14 @@
 
     :param loop: the event loop.
     :param queue: the ``LinkQueue`` of the VM's own link.
+    :param report: a function of a large reply's request id, its bytes, the bytes that
+        were not sent as its receiver had left, and the seconds that it took.
     """
 
-    def __init__(self, loop, queue):
+    def __init__(self, loop, queue, report):
         self._loop = loop
         self._queue = queue
+        self._report = report
         self._pending = {}
         self._last_id = 0
         self._timer = None
@@ -21,13 +24,14 @@
         """Record bytes that are sent to other VMs on the way past this sender."""
         self._queue.record_sent(size, self._loop.time())
 
-    def send(self, connection, headers, message, due_s):
+    def send(self, connection, headers, message, due_s, request_id):
         """Send a complete reply; a connection that closes meanwhile ends it.
 
         :param connection: the ``HTTP1Connection`` of tornado's server.
         :param headers: ``HTTPHeaders``; Content-Length is added.
         :param message: the body as bytes.
         :param due_s: the loop's time, in seconds, by which it should arrive.
+        :param request_id: the id of the request, for the report.
         """
         if not self._queue.is_large(len(message)):
             self.record_sent(len(message))
@@ -37,14 +41,23 @@
             return
         self._last_id += 1
         message_id = self._last_id
-        self._pending[message_id] = (connection, memoryview(message))
+        begun_s = self._loop.time()
+
+        def report(unsent):
+            took_s = self._loop.time() - begun_s
+            self._report(request_id, len(message), unsent, took_s)
+
+        self._pending[message_id] = (connection, memoryview(message), report)
         connection.set_close_callback(lambda: self._drop(message_id))
         self._queue.add(message_id, len(message), due_s)
         self._send_due()
 
     def _drop(self, message_id):
-        if self._pending.pop(message_id, None) is not None:
+        pending = self._pending.pop(message_id, None)
+        if pending is not None:
+            _, rest, report = pending
             self._queue.remove(message_id)
+            report(len(rest))
 
     def _send_due(self):
         """Send the chunks that are due, and wait for the next one."""
@@ -58,13 +71,14 @@
             self._timer = self._loop.call_at(next_s, self._send_due)
 
     def _send_chunk(self, message_id, size):
-        connection, rest = self._pending[message_id]
+        connection, rest, report = self._pending[message_id]
         connection.write(bytes(rest[:size]))
         if len(rest) > size:
-            self._pending[message_id] = (connection, rest[size:])
+            self._pending[message_id] = (connection, rest[size:], report)
             return
         del self._pending[message_id]
         connection.finish()
+        report(0)
 
     def stop(self):
         """Send nothing any more."""
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -117,7 +117,9 @@
         self.target_pool = ConnectionPool(
             MAX_ANSWER_BYTES, True, NON_IDEMPOTENT_IDLE_S, MAX_ANSWERS_BYTES
         )
-        self.link_sender = LinkSender(self.loop, self.proxy.link)
+        self.link_sender = LinkSender(
+            self.loop, self.proxy.link, self._report_large_reply
+        )
         self.stopping = False
         self.control = Control(self)
         self.replicator = ConfigReplicator(self)
@@ -513,7 +515,24 @@
         answer = work.answer if reply.outcome == request_events.ANSWERED else None
         message = self.codec.encode_reply(reply, answer, work.request_id)
         headers = make_reply_headers(reply)
-        self.link_sender.send(work.connection, headers, message, effect.due_s)
+        self.link_sender.send(
+            work.connection, headers, message, effect.due_s, work.request_id
+        )
+
+    def _report_large_reply(self, request_id, size, unsent, took_s):
+        self.metrics.count("large_replies")
+        self.metrics.count("large_replies_dropped", int(unsent > 0))
+        self.metrics.count("large_reply_ms", round(took_s * 1000))
+        fields = {
+            "request": request_id,
+            "bytes": size,
+            "unsent": unsent,
+            "ms": round(took_s * 1000),
+            "waiting_bytes": self.proxy.link.count_bytes(),
+        }
+        event = "large reply dropped" if unsent else "large reply sent"
+        decision = request_events.LogDecision(event, fields, routine=True)
+        self.decisions.write(decision, self.loop.time())
 
     def _finish_local_work(self, work, reply):
         attempt_id = work.attempt_id
--- a/standins/server.py
+++ b/standins/server.py
@@ -44,6 +44,7 @@
     ``arrivals`` holds the event loop's time of each request, in seconds. ``notices``
     are pairs of header name and value that all answers carry. ``on_arrival``, if set,
     is called with the server, the id of each request that arrives, and that time.
+    ``padding`` is appended to the body of each answer.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -58,6 +59,7 @@
         self.notices = []
         self.arrivals = []
         self.on_arrival = None
+        self.padding = b""
         self.address = None
         self._server = None
         self._writers = set()
@@ -139,7 +141,7 @@
             ("X-Server-Seal", f"seal-{request_id}"),
             *self.notices,
         ]
-        body = f"{self.instance} ran {line.split()[1]}".encode()
+        body = f"{self.instance} ran {line.split()[1]}".encode() + self.padding
         if fault == "silent":
             return True
         if fault == "reset":
--- a/tests/net/test_link_sender.py
+++ b/tests/net/test_link_sender.py
@@ -22,7 +22,12 @@
 
     async def asyncSetUp(self):
         self.queue = LinkQueue(MBPS)
-        self.sender = LinkSender(asyncio.get_running_loop(), self.queue)
+        self.reports = []
+        self.sender = LinkSender(
+            asyncio.get_running_loop(),
+            self.queue,
+            lambda *values: self.reports.append(values),
+        )
         self.addCleanup(self.sender.stop)
         server = KeepaliveServer(RequestServer(Limits, self.answer))
         server.listen(0, "127.0.0.1")
@@ -35,7 +40,7 @@
     def answer(self, connection, start_line, headers, body):
         size = int(start_line.path.lstrip("/"))
         message = bytes(number % 251 for number in range(size))
-        self.sender.send(connection, HTTPHeaders(), message, math.inf)
+        self.sender.send(connection, HTTPHeaders(), message, math.inf, "r1")
 
     async def fetch(self, size, timeout_s=5.0):
         return await self.pool.fetch(
@@ -52,6 +57,8 @@
             )
         self.assertEqual(len(self.pool._idle[self.address]), 1)
         self.assertTrue(self.queue.is_idle())
+        self.assertEqual([item[:3] for item in self.reports], 2 * [("r1", LARGE, 0)])
+        self.assertGreater(self.reports[0][3], 0.5 * LARGE_S)
 
     # Guards against small answers that wait for large ones on a narrow link.
     async def test_small_reply_overtakes_large_ones(self):
@@ -68,6 +75,9 @@
         task = asyncio.ensure_future(self.fetch(50 * LARGE, timeout_s=0.2))
         await asyncio.wait([task])
         self.assertIsNotNone(task.exception())
+        ((_, size, unsent, _),) = self.reports
+        self.assertEqual(size, 50 * LARGE)
+        self.assertGreater(unsent, 0)
         response = await self.fetch(LARGE, timeout_s=3.0)
         self.assertEqual(len(response.body), LARGE)
         self.assertTrue(self.queue.is_idle())
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -194,6 +194,31 @@
         self.assertEqual((await self.call("/safe/1", "r1")).status, 200)
 
 
+class ThinLinksTest(FleetCase):
+    """Two nodes on VMs with links of 8 Mbit/s, and large answers."""
+
+    zones = ("erie",)
+    PADDING = bytes(range(256)) * 400
+
+    def write_settings(self, index, **changes):
+        return super().write_settings(index, limits={"link-mbps": 8.0}, **changes)
+
+    # Guards against large answers that are mixed up, cut short or never traced.
+    async def test_large_answers_of_another_vm_arrive_whole_and_are_logged(self):
+        self.servers[0].stop()
+        self.servers[1].padding = self.PADDING
+        calls = [self.call(f"/safe/{number}", f"r{number}") for number in range(4)]
+        for number, response in enumerate(await asyncio.gather(*calls)):
+            self.assertEqual(response.status, 200)
+            expected = f"i-1 ran /safe/{number}".encode() + self.PADDING
+            self.assertEqual(response.body, expected)
+        lines = filter(None, self.read_logs().splitlines())
+        records = [json.loads(line) for line in lines]
+        sent = [item for item in records if item["message"] == "large reply sent"]
+        self.assertEqual({item["request"] for item in sent}, {"r0", "r1", "r2", "r3"})
+        self.assertTrue(all(item["bytes"] > len(self.PADDING) for item in sent))
+
+
 class TwoNodesTest(FleetCase):
     """Two nodes and their servers in one failure domain."""
 
