Learn usual answer sizes from good answers only

Would be seen by callers: small answers behind large ones again, and work sent where the link is full, once a target has declined or failed other requests: their answers are small, so the mean of the class fell below what counts as large, and the node reported a free link.

Red before: test_only_good_answers_tell_the_usual_size (no report of the link).

--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -249,7 +249,8 @@
         item = self.queue.finish(event.work_id, event.now_s, not event.declined)
         if item is None:
             return []
-        self.queue.record_answer(item, event.answer_bytes)
+        if not (event.declined or event.failed):
+            self.queue.record_answer(item, event.answer_bytes)
         if not event.declined:
             self.last_answered_instance = item.event.instance
         decisions = self._record_notice(item, event)
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -89,6 +89,21 @@
         self.assertGreater(reply.load.link.wait_s, 1.5)
         self.assertEqual(self.get_started_ids(self.receive(4, 0.2, local=True)), [4])
 
+    # Guards against large answers that are taken for small ones, as the target has
+    # declined or failed other requests, whose answers are small.
+    def test_only_good_answers_tell_the_usual_size(self):
+        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(3.5))
+        self.list_target(2, slots=2)
+        self.receive(1)
+        self.end(1, 0.1, answer_bytes=90_000)
+        for number in range(2, 60, 2):
+            self.receive(number, 0.1)
+            self.end(number, 0.1, declined=True)
+            self.receive(number + 1, 0.1)
+            self.end(number + 1, 0.1, failed=True, answer_bytes=40)
+        self.receive(100, 0.1)
+        self.assertGreater(self.target_work.make_load(0.1).link.wait_s, 0.2)
+
     # Guards against answers to patient callers that wait for the link and take all
     # memory of a VM.
     def test_large_answers_are_refused_while_many_bytes_wait_for_the_link(self):
