Let a lost connection end its own large reply only

Would be seen by callers: no large answer of a VM arrives any more. A chunk for a connection without a stream raised in the timer that sends the chunks, which was then not set again; the replies behind it waited for good.

Red before: test_connection_without_a_stream_ends_its_own_reply_only.

--- a/balsamdeal/net/link_sender.py
+++ b/balsamdeal/net/link_sender.py
@@ -60,7 +60,7 @@
             report(len(rest))
 
     def _send_due(self):
-        """Send the chunks that are due, and wait for the next one."""
+        """Send the chunks that are due, and set the timer of the next one."""
         while chunk := self._queue.take_chunk(self._loop.time()):
             self._send_chunk(*chunk)
         if self._timer is not None:
@@ -72,6 +72,9 @@
 
     def _send_chunk(self, message_id, size):
         connection, rest, report = self._pending[message_id]
+        if connection.stream is None or connection.stream.closed():
+            self._drop(message_id)
+            return
         connection.write(bytes(rest[:size]))
         if len(rest) > size:
             self._pending[message_id] = (connection, rest[size:], report)
--- a/tests/net/test_link_sender.py
+++ b/tests/net/test_link_sender.py
@@ -70,6 +70,27 @@
         for response in await asyncio.gather(*large):
             self.assertEqual(len(response.body), LARGE)
 
+    # Guards against an error in one connection that stops all large replies.
+    async def test_connection_without_a_stream_ends_its_own_reply_only(self):
+        connections = []
+        send = self.sender.send
+
+        def detach_first(connection, *arguments):
+            send(connection, *arguments)
+            connections.append(connection)
+            if len(connections) == 1:
+                connection.detach()
+
+        self.sender.send = detach_first
+        first = asyncio.ensure_future(self.fetch(LARGE, timeout_s=0.5))
+        while not connections:
+            await asyncio.sleep(0.005)
+        response = await self.fetch(LARGE, timeout_s=3.0)
+        self.assertEqual(len(response.body), LARGE)
+        await asyncio.wait([first])
+        self.assertIsNotNone(first.exception())
+        self.assertTrue(self.queue.is_idle())
+
     # Guards against a link that stays reserved for callers who have left.
     async def test_reply_is_dropped_when_its_receiver_disconnects(self):
         task = asyncio.ensure_future(self.fetch(50 * LARGE, timeout_s=0.2))
