Tests: wait for the log line of a large reply

All four answers had arrived whole. The node writes the line after the last bytes, so the callers may have their answers, and the test the log, before it. It still demands a line for each of the four, with the bytes.

--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -212,12 +212,21 @@
             self.assertEqual(response.status, 200)
             expected = f"i-1 ran /safe/{number}".encode() + self.PADDING
             self.assertEqual(response.body, expected)
-        lines = filter(None, self.read_logs().splitlines())
-        records = [json.loads(line) for line in lines]
-        sent = [item for item in records if item["message"] == "large reply sent"]
+
+        # A line may be written after its answer has arrived.
+        async def is_logged():
+            return len(self.list_sent()) == len(calls)
+
+        await self.wait_for(is_logged)
+        sent = self.list_sent()
         self.assertEqual({item["request"] for item in sent}, {"r0", "r1", "r2", "r3"})
         self.assertTrue(all(item["bytes"] > len(self.PADDING) for item in sent))
 
+    def list_sent(self):
+        """Return the log records of large replies that were sent whole."""
+        records = map(json.loads, filter(str.strip, self.read_logs().splitlines()))
+        return [item for item in records if item["message"] == "large reply sent"]
+
 
 class TwoNodesTest(FleetCase):
     """Two nodes and their servers in one failure domain."""
