Answer what is in flight when a stopping node exits

Cause: the end of the drain closed connections under calls in flight. The answer had not arrived: it waited for the link of the target's VM for 4.3 s, which large answers that can still be in time pass by. So the order on the link brought it to light; before, such an answer came sooner.

Not changed: that a late large answer may wait until its caller gives up.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -387,6 +387,21 @@
         )
         return [LogDecision("call failed", fields), refusal]
 
+    def end_all(self, now_s):
+        """Answer all calls in flight, as the process is about to exit.
+
+        Their callers would otherwise see a closed connection.
+        """
+        result = []
+        for call in list(self.calls.values()):
+            del self.calls[call.event.call_id]
+            result += self._cancel(call)
+            if call.last_failed_attempt is not None:
+                result.append(self._relay(call, call.last_failed_attempt))
+            else:
+                result += self._fail(call, 502, "node is stopping", None, now_s)
+        return result
+
     def handle_caller_left(self, event):
         """Drop a call whose caller closed its connection, and cancel its attempt."""
         call = self.calls.pop(event.call_id, None)
--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -237,6 +237,13 @@
         return now_s <= self.accept_all_until_s or now_s + time_left_s <= self.end_s
 
 
+@dataclass(frozen=True, slots=True)
+class StopEnding:
+    """The process is about to exit, and answers what is still in flight."""
+
+    now_s: float
+
+
 # Effects
 
 
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -40,8 +40,8 @@
 async def drain(shell, sleep=asyncio.sleep):
     """Serve until callers have stopped using this node and no request is in flight.
 
-    It ends KILL_MARGIN_S before the stop bound of the settings at the latest, and
-    refuses new requests for its last REFUSE_S.
+    It ends KILL_MARGIN_S before the stop bound of the settings at the latest. REFUSE_S
+    before its end it answers what is still in flight, and refuses new requests then.
 
     :param shell: the ``ProxyShell``.
     :param sleep: a coroutine function that sleeps for seconds of the loop's clock;
@@ -64,6 +64,7 @@
     while not shell.proxy.is_idle() and loop.time() < deadline_s:
         await sleep(IDLE_POLL_S)
     shell.proxy.refuse_all()
+    shell.handle(request_events.StopEnding(loop.time()))
     await sleep(REFUSE_S)
 
 
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -226,6 +226,24 @@
         effects = self.receive(now_s=4.5, time_left_s=1.0, call_id=3)
         self.assertEqual(self.refusal(effects), 503)
 
+    # Guards against requests that were read and end with a closed connection, as their
+    # answers were still on their way when a stopping node exited.
+    def test_calls_in_flight_are_answered_when_a_stopping_node_exits(self):
+        self.send(call_id=1)
+        failed = self.send(call_id=2)
+        self.reply(failed, FAILED)
+        effects = self.calls.end_all(4.0)
+        statuses = {
+            effect.call_id: effect.status
+            for effect in self.filter_effects(effects, request_events.RefuseCall)
+        }
+        relayed = self.filter_effects(effects, request_events.RelayAnswer)
+        self.assertEqual(statuses, {1: 502})
+        self.assertEqual([effect.call_id for effect in relayed], [2])
+        cancelled = self.filter_effects(effects, request_events.CancelAttempt)
+        self.assertEqual(len(cancelled), 2)
+        self.assertEqual((self.calls.calls, self.calls.attempts), ({}, {}))
+
     def test_disconnected_caller_cancels_its_attempt(self):
         attempt = self.send()
         effects = self.calls.handle_caller_left(request_events.CallerLeft(1, 0.2))
--- a/tests/test_proxydaemon.py
+++ b/tests/test_proxydaemon.py
@@ -64,6 +64,17 @@
         self.assertAlmostEqual(self.now_s, bound_s, delta=0.1)
         self.assertTrue(self.shell.proxy.calls.refuse_all)
 
+    async def test_drain_answers_what_is_in_flight_at_its_end(self):
+        self.schedule_probes(0.3)
+        self.shell.proxy.is_idle = lambda: False
+        handled = []
+        self.shell.handle = lambda event: handled.append((event, self.now_s))
+        await drain(self.shell, self.sleep)
+        event, at_s = handled[-1]
+        self.assertIsInstance(event, request_events.StopEnding)
+        # The answers have time to leave before the process does.
+        self.assertAlmostEqual(self.now_s - at_s, REFUSE_S, delta=0.01)
+
     # Guards against answers that are cut off by the end of the process, as they still
     # wait for the VM's link.
     async def test_drain_waits_for_answers_on_their_way(self):
