--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -387,11 +387,12 @@
         )
         return [LogDecision("call failed", fields), refusal]
 
-    def end_all(self, now_s):
+    def handle_stop_ending(self, event):
         """Answer all calls in flight, as the process is about to exit.
 
         Their callers would otherwise see a closed connection.
         """
+        now_s = event.now_s
         result = []
         for call in list(self.calls.values()):
             del self.calls[call.event.call_id]
--- a/balsamdeal/core/link_queue.py
+++ b/balsamdeal/core/link_queue.py
@@ -105,7 +105,3 @@
             return 0.0
         size = self.count_bytes() + further_bytes
         return max(0.0, self._idle_from_s - now_s) + size / self._bytes_per_s
-
-
-# Of a node whose settings name no bandwidth; it holds no state.
-UNLIMITED_LINK = LinkQueue(None)
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -67,7 +67,7 @@
             request_events.TargetFailed: self.target_work.handle_failure,
             request_events.TimerFired: self._fire_timer,
             request_events.StopRequested: self._stop,
-            request_events.StopEnding: lambda event: self.calls.end_all(event.now_s),
+            request_events.StopEnding: self.calls.handle_stop_ending,
             replication_messages.PollReceived: self.replication.handle_poll,
             replication_messages.PollResponseReceived: (
                 self.replication.handle_poll_response
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -6,7 +6,7 @@
 
 import math
 
-from balsamdeal.core.link_queue import UNLIMITED_LINK
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S, RateLimit
 from balsamdeal.core.request_events import (
     ANSWERED,
@@ -51,17 +51,16 @@
     :param own_node: the address of this node as other nodes reach it.
     :param limit_settle_s: how long after a target has first named a limit of requests
         operators expect it to hold.
-    :param link: the ``LinkQueue`` of the VM's own link.
+    :param link: the ``LinkQueue`` of the VM's own link; by default its bandwidth is
+        not known.
     """
 
-    def __init__(
-        self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S, link=UNLIMITED_LINK
-    ):
+    def __init__(self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S, link=None):
         self.targets = targets
         self.own_node = own_node
         self.rate_limit = RateLimit(limit_settle_s)
-        self.link = link
-        self.queue = WorkQueue(DEFAULT_SLOTS, self.rate_limit, link)
+        self.link = link or LinkQueue(None)
+        self.queue = WorkQueue(DEFAULT_SLOTS, self.rate_limit, self.link)
         self.stop = None
         self.refuse_all = False
         self.listed_instances = set()
@@ -212,8 +211,16 @@
         )
         return [decision, ReplyWork(event.work_id, reply)]
 
-    def _reply(self, event, work_id, outcome, target_reached, reason, **details):
-        due_s = details.pop("due_s", math.inf)
+    def _reply(
+        self,
+        event,
+        work_id,
+        outcome,
+        target_reached,
+        reason,
+        due_s=math.inf,
+        **details,
+    ):
         load = self.make_load(event.now_s)
         reply = WorkReply(outcome, target_reached, reason, load=load, **details)
         return ReplyWork(work_id, reply, due_s)
--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -10,7 +10,7 @@
 import math
 from dataclasses import dataclass, field
 
-from balsamdeal.core.link_queue import UNLIMITED_LINK, LinkQueue
+from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.rate_limit import RateLimit
 from balsamdeal.core.request_events import LinkReport
 
@@ -93,7 +93,7 @@
 
     limit: int
     rate_limit: RateLimit
-    link: LinkQueue = UNLIMITED_LINK
+    link: LinkQueue = field(default_factory=lambda: LinkQueue(None))
     running: dict = field(default_factory=dict)
     waiting: dict = field(default_factory=dict)
     work_s: float = 0.0
--- a/balsamdeal/net/link_sender.py
+++ b/balsamdeal/net/link_sender.py
@@ -1,8 +1,25 @@
 """Sends replies to other nodes in the order of a ``core.link_queue.LinkQueue``."""
 
+from dataclasses import dataclass
+
 from balsamdeal.net.messages import begin_response, write_response
 
 
+@dataclass(slots=True)
+class PendingReply:
+    """A large reply that has not been sent whole.
+
+    ``rest`` is what remains of its ``size`` bytes. ``begun_s`` is the loop's time in
+    seconds.
+    """
+
+    connection: object
+    request_id: str
+    size: int
+    rest: memoryview
+    begun_s: float
+
+
 class LinkSender:
     """Sends small replies at once, and large ones in chunks as the link takes them.
 
@@ -41,23 +58,27 @@
             return
         self._last_id += 1
         message_id = self._last_id
-        begun_s = self._loop.time()
-
-        def report(unsent):
-            took_s = self._loop.time() - begun_s
-            self._report(request_id, len(message), unsent, took_s)
-
-        self._pending[message_id] = (connection, memoryview(message), report)
+        self._pending[message_id] = PendingReply(
+            connection,
+            request_id,
+            len(message),
+            memoryview(message),
+            self._loop.time(),
+        )
         connection.set_close_callback(lambda: self._drop(message_id))
         self._queue.add(message_id, len(message), due_s)
         self._send_due()
 
     def _drop(self, message_id):
-        pending = self._pending.pop(message_id, None)
-        if pending is not None:
-            _, rest, report = pending
+        """Forget a reply whose receiver has disconnected."""
+        if message_id in self._pending:
             self._queue.remove(message_id)
-            report(len(rest))
+            self._end(message_id)
+
+    def _end(self, message_id):
+        pending = self._pending.pop(message_id)
+        took_s = self._loop.time() - pending.begun_s
+        self._report(pending.request_id, pending.size, len(pending.rest), took_s)
 
     def _send_due(self):
         """Send the chunks that are due, and set the timer of the next one."""
@@ -71,17 +92,16 @@
             self._timer = self._loop.call_at(next_s, self._send_due)
 
     def _send_chunk(self, message_id, size):
-        connection, rest, report = self._pending[message_id]
+        pending = self._pending[message_id]
+        connection = pending.connection
         if connection.stream is None or connection.stream.closed():
             self._drop(message_id)
             return
-        connection.write(bytes(rest[:size]))
-        if len(rest) > size:
-            self._pending[message_id] = (connection, rest[size:], report)
-            return
-        del self._pending[message_id]
-        connection.finish()
-        report(0)
+        connection.write(bytes(pending.rest[:size]))
+        pending.rest = pending.rest[size:]
+        if not pending.rest:
+            connection.finish()
+            self._end(message_id)
 
     def stop(self):
         """Send nothing any more."""
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -232,7 +232,7 @@
         self.send(call_id=1)
         failed = self.send(call_id=2)
         self.reply(failed, FAILED)
-        effects = self.calls.end_all(4.0)
+        effects = self.calls.handle_stop_ending(request_events.StopEnding(4.0))
         statuses = {
             effect.call_id: effect.status
             for effect in self.filter_effects(effects, request_events.RefuseCall)
