--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -241,7 +241,10 @@
         return min(times, default=0.0)
 
     def set_routes(self, configuration):
-        """Find the urgent routes: each of their services has a less urgent one."""
+        """Find the urgent routes, and drop the averages of removed ones.
+
+        Each service of an urgent route has a less urgent one.
+        """
         max_ranks = {}
         routes = [
             route
@@ -252,6 +255,10 @@
             for backend in route.backends:
                 known = max_ranks.get(backend.service, route.rank)
                 max_ranks[backend.service] = max(known, route.rank)
+        names = {route.name for route in routes}
+        for averages in (self.route_runs_s, self.answer_bytes):
+            for name in averages.keys() - names:
+                del averages[name]
         self.urgent_routes = {
             route.name
             for route in routes
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -92,6 +92,14 @@
                 )
                 self.assertEqual({name[0] for name in chosen}, {expected})
 
+    # Guards against a node that remembers all routes that it has ever had.
+    def test_averages_of_removed_routes_are_dropped(self):
+        for name in ("kept", "removed"):
+            self.placement.record_run(self.targets.targets["n0"], name, 0.1, 500)
+        self.placement.set_routes(make_configuration(2, make_route("kept", "/a/")))
+        self.assertEqual(set(self.placement.route_runs_s), {"kept"})
+        self.assertEqual(set(self.placement.answer_bytes), {"kept"})
+
     def test_local_target_is_chosen_while_it_has_room(self):
         self.report_all()
         self.assertEqual(self.choose_repeatedly(), {"n0"})
