Look for large answers only where a target has any

Classes with large answers are kept apart now, and a target without a reported link is not looked at further.

Decisions are the same: the loads of test_links give the same shares.

--- a/balsamdeal/core/placement.py
+++ b/balsamdeal/core/placement.py
@@ -302,7 +302,7 @@
 
     def _estimate_link_s(self, target, view, route_name, run_s, now_s):
         """Return how long a large answer waits for the target's link and is on it."""
-        if not self._has_large_answers(route_name) or not view.link_mbps:
+        if not view.link_mbps or not self._has_large_answers(route_name):
             return 0.0
         if target.node_address == self.own_node:
             return 0.0
--- a/balsamdeal/core/work_queue.py
+++ b/balsamdeal/core/work_queue.py
@@ -99,6 +99,7 @@
     work_s: float = 0.0
     work_s_by_class: dict = field(default_factory=dict)
     answer_bytes_by_class: dict = field(default_factory=dict)
+    _large_bytes_by_class: dict = field(default_factory=dict)
     last_empty_s: float = -math.inf
     _started_sum_s: float = 0.0
     _heap: list = field(default_factory=list)
@@ -173,24 +174,33 @@
         """
         class_key = _get_class_key(item.event)
         known = self.answer_bytes_by_class.get(class_key, size)
-        self.answer_bytes_by_class[class_key] = known + WORK_GAIN * (size - known)
+        mean = known + WORK_GAIN * (size - known)
+        self.answer_bytes_by_class[class_key] = mean
+        # Kept apart, as most targets have no large answers and each reply looks here.
+        if self.link.is_large(mean):
+            self._large_bytes_by_class[class_key] = mean
+        else:
+            self._large_bytes_by_class.pop(class_key, None)
 
     def _get_large_answer_bytes(self, event):
         """Return the expected size of an answer if it waits for the link, else 0."""
-        size = self.answer_bytes_by_class.get(_get_class_key(event), 0.0)
-        return size if self.link.is_large(size) and not event.local else 0.0
+        if event.local or not self._large_bytes_by_class:
+            return 0.0
+        return self._large_bytes_by_class.get(_get_class_key(event), 0.0)
 
     def report_link(self, now_s):
         """Return the ``LinkReport``, or None if no large answer waits or is expected.
 
         Running work is expected to have an answer of the usual size.
         """
+        if not self._large_bytes_by_class and self.link.is_idle():
+            return None
         expected = sum(
             self._get_large_answer_bytes(item.event) for item in self.running.values()
         )
-        wait_s = self.link.estimate_wait_s(now_s, expected)
-        if not expected and self.link.find_next_s() is None:
+        if not expected and self.link.is_idle():
             return None
+        wait_s = self.link.estimate_wait_s(now_s, expected)
         return LinkReport(wait_s, self.link.link_mbps)
 
     def _is_link_full(self, event):
