Log a digest that is alike in all attempts at one request

Each attempt of a caller has an id of its own, so that a request that crashes target after target looks like many. `call failed` and `target gave no answer` now name the digest of method, host, path, caller's credentials and body.

No decision uses it yet. blake2b of 8 bytes, computed where a request arrives and where its target is.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -366,6 +366,7 @@
     def _fail(self, call, status, reason, retry_after_s, now_s):
         fields = {
             "request": call.event.request_id,
+            "digest": call.event.digest,
             "route": call.route.name,
             "version": self.configuration.version,
             "status": status,
--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -105,7 +105,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CallReceived:
-    """A complete request arrived; ``time_left_s`` is None if it set no timeout."""
+    """A complete request arrived; ``time_left_s`` is None if it set no timeout.
+
+    ``digest`` is the same in all attempts at one request.
+    """
 
     call_id: int
     request_id: str
@@ -113,6 +116,7 @@
     path: str
     time_left_s: float | None
     now_s: float
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +168,7 @@
     left to meet its latency objective, negative if that has passed. ``objective_s`` is
     the whole latency objective of its route. ``limit_report`` is what the sender knows
     of the target's limit, or None. ``local`` is set if its answer stays on this VM.
+    ``digest`` is the same in all attempts at one request.
     """
 
     work_id: int
@@ -178,6 +183,7 @@
     now_s: float
     limit_report: LimitReport | None = None
     local: bool = False
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,10 +283,11 @@
     limit_report: LimitReport | None = None
 
 
-def make_work(effect, work_id, request_id, now_s):
+def make_work(effect, work_id, request_id, now_s, digest=""):
     """Return the ``WorkReceived`` event of an attempt at its target's node.
 
     :param effect: the ``SendAttempt``.
+    :param digest: that of the request.
     """
     return WorkReceived(
         work_id,
@@ -295,6 +302,7 @@
         now_s,
         effect.limit_report,
         effect.local,
+        digest,
     )
 
 
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -331,6 +331,7 @@
             "target gave no answer",
             {
                 "request": item.event.request_id,
+                "digest": item.event.digest,
                 "instance": item.event.instance,
                 "step": event.step,
                 "outcome": outcome,
--- a/balsamdeal/net/messages.py
+++ b/balsamdeal/net/messages.py
@@ -1,6 +1,7 @@
 """HTTP messages that a node forwards, header names, and writing of responses."""
 
 from dataclasses import dataclass
+from hashlib import blake2b
 from http.client import responses
 
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -41,6 +42,26 @@
         return ""
 
 
+# Headers that make a request another one, as they tell who the caller is.
+IDENTITY_HEADERS = frozenset({"authorization", "cookie", "host"})
+# Two of a million different requests have the same digest with a chance of 3e-8.
+DIGEST_BYTES = 8
+
+
+def compute_digest(payload):
+    """Return what is alike in all attempts at one request, as hexadecimal digits.
+
+    :param payload: the ``Payload``; its id and its deadline differ in each attempt.
+    """
+    state = blake2b(digest_size=DIGEST_BYTES)
+    state.update(f"{payload.method} {payload.path}\n".encode())
+    for name, value in payload.headers:
+        if name.lower() in IDENTITY_HEADERS:
+            state.update(f"{name.lower()}:{value}\n".encode())
+    state.update(payload.body)
+    return state.hexdigest()
+
+
 @dataclass(slots=True)
 class Answer:
     """A target's complete answer as it is forwarded to the caller."""
--- a/balsamdeal/net/node_codec.py
+++ b/balsamdeal/net/node_codec.py
@@ -26,7 +26,7 @@
 )
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net.answer_checks import parse_rate
-from balsamdeal.net.messages import Answer, Payload
+from balsamdeal.net.messages import Answer, Payload, compute_digest
 
 # Header of work that carries a ``LimitReport``: the requests per second and the age in
 # seconds. It is none of the head's fields, whose number is fixed, so that nodes of an
@@ -203,6 +203,7 @@
                 objective_ms / 1000,
                 now_s,
                 _decode_limit_report(http_headers),
+                digest=compute_digest(payload),
             )
         except (ValueError, TypeError, struct.error, zlib.error) as error:
             raise ExchangeError(
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -33,6 +33,7 @@
     HOP_BY_HOP_HEADERS,
     Answer,
     Payload,
+    compute_digest,
     filter_headers,
     make_headers,
     write_response,
@@ -270,6 +271,7 @@
                 start_line.path,
                 _parse_milliseconds(headers.get(self.names.time_left_ms)),
                 now_s,
+                compute_digest(payload),
             )
         )
 
@@ -336,7 +338,10 @@
             payload, self.settings.service, request_id, effect.attempt_id, None
         )
         now_s = self.loop.time()
-        self.handle(request_events.make_work(effect, work_id, request_id, now_s))
+        call = self.proxy.calls.calls[effect.call_id]
+        digest = call.event.digest
+        event = request_events.make_work(effect, work_id, request_id, now_s, digest)
+        self.handle(event)
 
     async def _exchange_attempt(self, effect, payload, exchange):
         message = self.codec.encode_work(effect, self.settings.service, payload)
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -13,7 +13,7 @@
     WorkReply,
 )
 from balsamdeal.errors import ExchangeError
-from balsamdeal.net.messages import Answer, HeaderNames, Payload
+from balsamdeal.net.messages import Answer, HeaderNames, Payload, compute_digest
 from balsamdeal.net.node_codec import (
     FORMAT_VERSION,
     HEAD_PREFIX,
@@ -83,12 +83,11 @@
             event, service, decoded = self.codec.decode_work(message, 5, 10.0, {})
             self.assertEqual(decoded, payload)
             self.assertEqual(service, "board")
-            self.assertEqual(
-                event,
-                request_events.WorkReceived(
-                    5, REQUEST_ID, "i-1", "desk", True, 2, 1.2, -0.35, 0.4, 10.0
-                ),
+            expected = request_events.WorkReceived(
+                5, REQUEST_ID, "i-1", "desk", True, 2, 1.2, -0.35, 0.4, 10.0
             )
+            digest = compute_digest(payload)
+            self.assertEqual(event, replace(expected, digest=digest))
 
     def test_limit_travels_beside_the_head(self):
         message = self.codec.encode_work(make_attempt(), "board", make_payload())
