--- a/standins/server.py
+++ b/standins/server.py
@@ -44,7 +44,10 @@
     ``arrivals`` holds the event loop's time of each request, in seconds. ``notices``
     are pairs of header name and value that all answers carry. ``on_arrival``, if set,
     is called with the server, the id of each request that arrives, and that time.
-    ``padding`` is appended to the body of each answer.
+    ``padding`` is appended to the body of each answer. A request for one of
+    ``crashing_paths`` ends the server ``crash_after_s`` after it began to run; it is
+    back ``restart_s`` later under another instance id, and ``on_restart``, if set, is
+    called with it. ``crashes`` holds the time and the path of each.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -60,6 +63,11 @@
         self.arrivals = []
         self.on_arrival = None
         self.padding = b""
+        self.crashing_paths = set()
+        self.crash_after_s = 0.05
+        self.restart_s = 1.0
+        self.crashes = []
+        self.on_restart = None
         self.address = None
         self._server = None
         self._writers = set()
@@ -77,6 +85,21 @@
         for writer in self._writers:
             writer.transport.abort()
 
+    def _crash(self, path):
+        """End like a process that is killed, and start again later."""
+        loop = asyncio.get_running_loop()
+        self.crashes.append((loop.time(), path))
+        if self._server.is_serving():
+            self.stop()
+            loop.call_later(self.restart_s, self._restart)
+
+    def _restart(self):
+        self.instance += "b"
+        host, _, port = self.address.rpartition(":")
+        self._restarting = asyncio.ensure_future(self.listen(host, int(port)))
+        if self.on_restart is not None:
+            self._restarting.add_done_callback(lambda _: self.on_restart(self))
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -116,6 +139,11 @@
                 self._late_copies[writer] = (503, not_run, b"")
             return True
         self.runs[request_id] += 1
+        path = line.split()[1]
+        if path in self.crashing_paths:
+            await asyncio.sleep(self.crash_after_s)
+            self._crash(path)
+            return False
         if not await self._simulate_run(reader):
             self.aborted_runs += 1
             return False
