Refuse requests that crash targets, at all nodes

Cause: attempts are bounded within one call at one node; nothing remembered a request beyond its call, and no node told another. Class of fault: a bound on repeats that starts afresh with each repeat. Evidence: the runs that end in `read` just before their target refuses connections.

Now the node in front of a target checks it when a run ends without an answer. If it refuses connections, the runs that were lost with it are reported: in the replies, beside each further attempt, to a few random nodes and by them to others, and by exchanges for those that missed it or have just started. A request that was in a crash runs beside at most one other like it, until it has run well. It is refused (503, not run, with the time left) for 10 minutes after its third crash, and for 30 s after its second if nothing else that ran there had been in one before.

Ruled out: counting all crashes alike (a frequent request is in each; so those that ran well in the 2 s before don't count, nor crashes at one moment); refusing after one crash (all that ran beside it would be refused).

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -45,6 +45,8 @@
 MAX_LATE_RETRY_AFTER_S = 3.0
 # Retry-After of a node that is about to stop: by then callers have switched to others.
 STOPPING_RETRY_AFTER_S = 0.2
+# Reason of a refusal, see ``core.crashes``.
+CRASHES_TARGETS = "request crashes targets"
 # Time left below which a retry is not worth sending.
 MIN_RETRY_TIME_S = 0.05
 # Share of the retries allowed by operators that this node uses at most. Every node
@@ -90,10 +92,13 @@
     :param placement: the ``Placement`` that chooses targets.
     :param random: the seeded generator of the reducer.
     :param repeat_share: retries that operators allow per request.
+    :param crash_news: the ``CrashNews``.
     """
 
-    def __init__(self, placement, random, repeat_share):
+    def __init__(self, placement, random, repeat_share, crash_news):
         self.placement = placement
+        self.crash_news = crash_news
+        self.crashes = crash_news.table
         self.random = random
         self.repeat_share = repeat_share
         self.configuration = None
@@ -122,6 +127,9 @@
         route = self.configuration.match(event.host, event.path)
         if route is None:
             return self._refuse_new(event, 404, "no route", None)
+        quarantine_s = self.crashes.find_quarantine_s(event.digest, event.now_s)
+        if quarantine_s:
+            return self._refuse_new(event, 503, CRASHES_TARGETS, quarantine_s)
         left_s = route.timeout_s
         if event.time_left_s is not None:
             left_s = min(left_s, event.time_left_s)
@@ -160,14 +168,21 @@
                 "reason": reason,
                 "host": event.host,
                 "version": version,
+                "digest": event.digest,
+                "crashes": self._list_crash_ids(event.digest),
             },
         )
         return [decision, RefuseCall(event.call_id, status, reason, retry_after_s)]
 
+    def _list_crash_ids(self, digest):
+        return [report.crash_id for report in self.crashes.list_crashes(digest)]
+
     # Attempts
 
     def _send(self, call, now_s):
         target = None
+        if self.crashes.find_quarantine_s(call.event.digest, now_s):
+            return self._give_up(call, now_s)
         if len(call.tried) < self._get_max_targets_tried(call.service):
             target = self.placement.choose(
                 call.service,
@@ -200,6 +215,7 @@
                 call.objective_at_s - now_s,
                 call.route.objective_s,
                 self.targets.notices.report_limit(target.identity, now_s),
+                self.crashes.list_evidence(call.event.digest),
             )
         ]
 
@@ -228,6 +244,11 @@
             return []
         reply = event.reply
         now_s = event.now_s
+        news = self.crash_news.record(reply.crash_reports, now_s)
+        return news + self._handle_reply(call, target, event, now_s)
+
+    def _handle_reply(self, call, target, event, now_s):
+        reply = event.reply
         if reply.load is not None:
             self.placement.record_load(target, reply.load, now_s)
         call.target_reached += reply.target_reached
@@ -240,11 +261,13 @@
         result = []
         if reply.target_reached:
             result += self._record_result(call, target, True, now_s)
-        elif reply.target_unavailable:
+        if reply.target_unavailable:
             self.placement.record_unreachable(target, now_s)
         if reply.outcome == NOT_RUN:
             self._keep_shortest_retry_after(call, reply.retry_after_s)
-            if not (reply.target_reached or reply.target_unavailable):
+            # Work that is refused for its crashes tells nothing of the target's room.
+            has_no_room = not (reply.target_unavailable or reply.crash_reports)
+            if has_no_room and not reply.target_reached:
                 priority = self.placement.get_priority(
                     call.route, call.objective_at_s - now_s
                 )
@@ -278,6 +301,7 @@
 
     def _handle_answer(self, call, target, event, now_s):
         failed = event.reply.failed
+        self.crashes.record_run(call.event.digest, now_s)
         if not failed:
             self.placement.record_run(
                 target, call.route.name, event.reply.ran_s, event.answer_bytes
@@ -313,6 +337,8 @@
         )
 
     def _may_retry(self, call, now_s, cost=UNCERTAIN_RETRY_COST):
+        if self.crashes.find_quarantine_s(call.event.digest, now_s):
+            return False
         if call.target_reached >= call.route.max_attempts:
             return False
         if call.deadline_s - now_s < MIN_RETRY_TIME_S:
@@ -349,6 +375,9 @@
             return self._fail(call, 504, "time is over", None, now_s)
         if call.may_have_run:
             return self._fail(call, 502, "target gave no answer", None, now_s)
+        quarantine_s = self.crashes.find_quarantine_s(call.event.digest, now_s)
+        if quarantine_s:
+            return self._fail(call, 503, CRASHES_TARGETS, quarantine_s, now_s)
         retry_after_s = call.retry_after_s
         if not retry_after_s:
             retry_after_s = self.placement.get_retry_after_s(call.service, now_s)
@@ -367,6 +396,7 @@
         fields = {
             "request": call.event.request_id,
             "digest": call.event.digest,
+            "crashes": self._list_crash_ids(call.event.digest),
             "route": call.route.name,
             "version": self.configuration.version,
             "status": status,
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -1,7 +1,8 @@
 """The request path of a node: one reducer for all its events.
 
-It combines ``Calls`` (requests from callers), ``TargetWork`` (work for the own target)
-and ``ConfigReplication`` (distribution of configurations). The shell updates the list
+It combines ``Calls`` (requests from callers), ``TargetWork`` (work for the own target),
+``CrashNews`` (requests that crash targets) and ``ConfigReplication`` (distribution of
+configurations). The shell updates the list
 of targets directly through the methods of ``TargetList``.
 """
 
@@ -9,12 +10,15 @@
 
 from balsamdeal.core import (
     calls,
+    crash_news,
     events,
     replication_messages,
     request_events,
     target_work,
 )
 from balsamdeal.core.calls import Calls
+from balsamdeal.core.crash_news import CrashNews
+from balsamdeal.core.crashes import CrashTable
 from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.placement import Placement
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
@@ -51,8 +55,13 @@
         self.link = LinkQueue(link_mbps)
         self.targets = TargetList()
         self.placement = Placement(self.targets, own_domain, own_node, random)
-        self.calls = Calls(self.placement, random, repeat_share)
-        self.target_work = TargetWork(self.targets, own_node, limit_settle_s, self.link)
+        self.crash_news = CrashNews(
+            CrashTable(), self.targets, own_node, own_domain, Random(seed + 2)
+        )
+        self.calls = Calls(self.placement, random, repeat_share, self.crash_news)
+        self.target_work = TargetWork(
+            self.targets, own_node, self.crash_news, limit_settle_s, self.link
+        )
         self.replication = ConfigReplication(
             own_node, link_mbps, Random(seed + 1), self._apply_document
         )
@@ -65,6 +74,7 @@
             request_events.WorkAbandoned: self.target_work.abandon,
             request_events.TargetReplied: self.target_work.handle_reply,
             request_events.TargetFailed: self.target_work.handle_failure,
+            request_events.TargetChecked: self.target_work.handle_checked,
             request_events.TimerFired: self._fire_timer,
             request_events.StopRequested: self._stop,
             request_events.StopEnding: self.calls.handle_stop_ending,
@@ -72,7 +82,8 @@
             replication_messages.PollResponseReceived: (
                 self.replication.handle_poll_response
             ),
-            events.Ticked: self.replication.tick,
+            crash_news.CrashNewsReceived: self.crash_news.handle_news,
+            events.Ticked: self._tick,
             events.PeerFailed: self.replication.handle_failure,
             events.SourceAnswered: self.replication.handle_source_answer,
             events.SourceFailed: self.replication.handle_source_failure,
@@ -106,6 +117,9 @@
         """
         return self._handlers[type(event)](event)
 
+    def _tick(self, event):
+        return self.replication.tick(event) + self.crash_news.tick(event.now_s)
+
     def _fire_timer(self, event):
         return self._timer_handlers[event.kind](event)
 
@@ -178,5 +192,5 @@
 
     def is_idle(self):
         """Return whether all calls and all work have been answered."""
-        is_busy = self.calls.calls or not self.target_work.queue.is_idle()
+        is_busy = self.calls.calls or not self.target_work.is_idle()
         return not is_busy and self.link.is_idle()
--- a/balsamdeal/core/request_events.py
+++ b/balsamdeal/core/request_events.py
@@ -8,6 +8,8 @@
 import math
 from dataclasses import dataclass
 
+from balsamdeal.core.crashes import CrashReport
+
 # Outcomes of work at a target's node.
 ANSWERED = "answered"  # the target sent a complete answer
 NOT_RUN = "not-run"  # no target has begun it, and none will
@@ -58,7 +60,8 @@
     retry budgets. ``retry_after_s`` is the time until there will be room, for
     ``NOT_RUN``. ``ran_s`` is the length of the run, for ``ANSWERED``. ``failed`` is set
     if the target's answer is itself a failure. ``target_unavailable`` is set if the
-    target takes no work from any node for now.
+    target takes no work from any node for now. ``crash_reports`` are those of crashes
+    that ended the run, or for which the work is refused.
     """
 
     outcome: str
@@ -69,6 +72,7 @@
     failed: bool = False
     target_unavailable: bool = False
     load: NodeLoad | None = None
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +172,8 @@
     left to meet its latency objective, negative if that has passed. ``objective_s`` is
     the whole latency objective of its route. ``limit_report`` is what the sender knows
     of the target's limit, or None. ``local`` is set if its answer stays on this VM.
-    ``digest`` is the same in all attempts at one request.
+    ``digest`` is the same in all attempts at one request, and ``crash_reports`` are
+    those that count against it.
     """
 
     work_id: int
@@ -184,6 +189,7 @@
     limit_report: LimitReport | None = None
     local: bool = False
     digest: str = ""
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,6 +228,14 @@
     now_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class TargetChecked:
+    """Result of a ``CheckTarget``: whether the target refuses connections."""
+
+    refused: bool
+    now_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The process was asked to stop, and exits at ``end_s`` at the latest.
@@ -267,6 +281,7 @@
     """Sends a call to the node in front of a target; ``local`` if that is this node.
 
     ``limit_report`` is the limit that the target has named to this node, or None.
+    ``crash_reports`` are those that count against the request.
     """
 
     attempt_id: int
@@ -281,6 +296,7 @@
     objective_left_s: float
     objective_s: float
     limit_report: LimitReport | None = None
+    crash_reports: tuple[CrashReport, ...] = ()
 
 
 def make_work(effect, work_id, request_id, now_s, digest=""):
@@ -303,6 +319,7 @@
         effect.limit_report,
         effect.local,
         digest,
+        effect.crash_reports,
     )
 
 
@@ -361,6 +378,11 @@
     time_left_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class CheckTarget:
+    """Asks whether this node's target still accepts connections."""
+
+
 @dataclass(frozen=True, slots=True)
 class CancelWork:
     """Cancels work at this node's target; ``silent`` as for ``CancelAttempt``."""
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -5,7 +5,9 @@
 """
 
 import math
+from dataclasses import replace
 
+from balsamdeal.core.crashes import CrashReport, LostRun
 from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S, RateLimit
 from balsamdeal.core.request_events import (
@@ -13,6 +15,7 @@
     NOT_RUN,
     UNKNOWN,
     CancelWork,
+    CheckTarget,
     LogDecision,
     NodeLoad,
     ReplyWork,
@@ -20,9 +23,16 @@
     SetTimer,
     WorkReply,
 )
-from balsamdeal.core.work_queue import WorkQueue
+from balsamdeal.core.work_queue import LATE_RETRY_AFTER_S, WorkQueue
 
 WORK_TIMER = "work"
+# Step of a run that ended because the target closed or reset the connection.
+CLOSED = "read"
+# A request that was in one crash runs beside at most this many others like it, so that
+# the next crash tells more. One that was in two crashes runs beside none.
+MAX_SUSPECTS = 2
+# Such a request waits for others like it for up to this share of its time left.
+SUSPECT_WAIT_SHARE = 0.4
 # Fires when the rate limit allows the next start of waiting work.
 START_TIMER = "start"
 # Grace period between the deadline of a run and its cancellation.
@@ -49,13 +59,29 @@
 
     :param targets: the ``TargetList``.
     :param own_node: the address of this node as other nodes reach it.
+    :param crash_news: the ``CrashNews``.
     :param limit_settle_s: how long after a target has first named a limit of requests
         operators expect it to hold.
     :param link: the ``LinkQueue`` of the VM's own link; by default its bandwidth is
         not known.
     """
 
-    def __init__(self, targets, own_node, limit_settle_s=DEFAULT_SETTLE_S, link=None):
+    def __init__(
+        self,
+        targets,
+        own_node,
+        crash_news,
+        limit_settle_s=DEFAULT_SETTLE_S,
+        link=None,
+    ):
+        self.crash_news = crash_news
+        self.crashes = crash_news.table
+        # Suspects that wait for others, by work id, with when they came.
+        self.held = {}
+        # Runs whose connection the target has closed, until it has been checked.
+        self._lost = {}
+        # The reports of runs that a crash has ended but whose failure is still due.
+        self._reported = {}
         self.targets = targets
         self.own_node = own_node
         self.rate_limit = RateLimit(limit_settle_s)
@@ -149,6 +175,23 @@
             )
         if event.limit_report is not None:
             self.rate_limit.record_report(event.limit_report, event.now_s)
+        news = self.crash_news.record(event.crash_reports, event.now_s)
+        return news + self._admit(event)
+
+    def _admit(self, event):
+        quarantine_s = self.crashes.find_quarantine_s(event.digest, event.now_s)
+        if quarantine_s:
+            return self._refuse(
+                event,
+                event.now_s,
+                "request crashes targets",
+                quarantine_s,
+                crash_reports=self.crashes.list_evidence(event.digest),
+            )
+        if not self._may_run_beside_others(event):
+            self.held[event.work_id] = event
+            wait_s = SUSPECT_WAIT_SHARE * event.time_left_s
+            return [SetTimer(WORK_TIMER, event.work_id, event.now_s + wait_s)]
         item, wait_s = self.queue.admit(event)
         if item is None:
             return self._refuse(
@@ -159,11 +202,46 @@
             return [timer, *self._set_start_timer(event.now_s)]
         return self._start(item, event.now_s)
 
+    def _may_run_beside_others(self, event):
+        """Return whether a request may run beside others that were in crashes."""
+        count = self.crashes.count(event.digest)
+        if not count:
+            return True
+        items = [*self.queue.running.values(), *self.queue.waiting.values()]
+        others = [self.crashes.count(item.event.digest) for item in items]
+        others = [other for other in others if other]
+        if not others:
+            return True
+        return count == max(others) == 1 and len(others) < MAX_SUSPECTS
+
+    def _release_held(self, now_s):
+        """Admit held work that may run now, the oldest first."""
+        result = []
+        for work_id, event in list(self.held.items()):
+            if not self._may_run_beside_others(event):
+                break
+            del self.held[work_id]
+            waited_s = now_s - event.now_s
+            result += self.receive(
+                replace(
+                    event,
+                    limit_report=None,
+                    now_s=now_s,
+                    time_left_s=event.time_left_s - waited_s,
+                    objective_left_s=event.objective_left_s - waited_s,
+                )
+            )
+        return result
+
     def _set_start_timer(self, now_s):
         """Return the timer for waiting work that the rate limit holds back, if any."""
         at_s = self.queue.find_next_start_s(now_s)
         return [] if at_s is None else [SetTimer(START_TIMER, 0, at_s)]
 
+    def is_idle(self):
+        """Return whether all work has been replied to."""
+        return self.queue.is_idle() and not (self.held or self._lost)
+
     def handle_start_timer(self, event):
         """Start waiting work that the rate limit has held back."""
         return self._start_next(event.now_s)
@@ -183,13 +261,23 @@
             ),
         ]
 
-    def _refuse(self, event, now_s, reason, retry_after_s, target_unavailable=False):
+    def _refuse(
+        self,
+        event,
+        now_s,
+        reason,
+        retry_after_s,
+        target_unavailable=False,
+        crash_reports=(),
+    ):
         load = self.make_load(now_s)
         decision = LogDecision(
             "work refused",
             {
                 "request": event.request_id,
                 "reason": reason,
+                "digest": event.digest,
+                "crashes": [report.crash_id for report in crash_reports],
                 "busy": load.busy,
                 "queued": load.queued,
                 "limit": load.limit,
@@ -208,6 +296,7 @@
             retry_after_s,
             target_unavailable=target_unavailable,
             load=load,
+            crash_reports=crash_reports,
         )
         return [decision, ReplyWork(event.work_id, reply)]
 
@@ -226,6 +315,10 @@
         return ReplyWork(work_id, reply, due_s)
 
     def _start_next(self, now_s):
+        result = self._start_waiting(now_s)
+        return result + self._release_held(now_s) if self.held else result
+
+    def _start_waiting(self, now_s):
         result = []
         while True:
             item, expiring = self.queue.take_next(now_s)
@@ -245,8 +338,10 @@
 
     def abandon(self, event):
         """Drop work whose sender has gone, and cancel its run."""
-        if self.queue.remove_waiting(event.work_id) is not None:
+        if self.held.pop(event.work_id, None) is not None:
             return []
+        if self.queue.remove_waiting(event.work_id) is not None:
+            return self._release_held(event.now_s)
         if self.queue.finish(event.work_id, event.now_s, False) is None:
             return []
         return [CancelWork(event.work_id), *self._start_next(event.now_s)]
@@ -260,6 +355,7 @@
             self.queue.record_answer(item, event.answer_bytes)
         if not event.declined:
             self.last_answered_instance = item.event.instance
+            self.crashes.record_run(item.event.digest, event.now_s)
         decisions = self._record_notice(item, event)
         if event.misdirected:
             self.misdirected_at_s[item.event.instance] = event.now_s
@@ -326,6 +422,70 @@
         item = self.queue.finish(event.work_id, event.now_s, False)
         if item is None:
             return []
+        report = self._reported.pop(event.work_id, None)
+        if report is None and event.sent and event.step == CLOSED:
+            self._lost[event.work_id] = (item, event)
+            return [CheckTarget()] if len(self._lost) == 1 else []
+        result = self._reply_failure(item, event, report)
+        return [*result, *self._start_next(event.now_s)]
+
+    def handle_checked(self, event):
+        """Reply to lost runs; report a crash if the target refuses connections."""
+        lost, self._lost = self._lost, {}
+        result, report = [], None
+        if event.refused:
+            report = self._make_report(lost, event.now_s)
+            result += self.crash_news.publish(report, event.now_s)
+            result.append(self._log_crash(report, lost))
+        for item, failure in lost.values():
+            failure = replace(failure, now_s=event.now_s)
+            result += self._reply_failure(item, failure, report)
+        return result + self._start_next(event.now_s)
+
+    def _make_report(self, lost, now_s):
+        """Return the report of a crash that has ended runs.
+
+        :param lost: pairs of ``WorkItem`` and ``TargetFailed`` by work id. Runs whose
+            failure is still due are added.
+        """
+        items = [item for item, _ in lost.values()]
+        at_s = min(failure.now_s for _, failure in lost.values())
+        self._reported.clear()
+        running = {
+            work_id: item
+            for work_id, item in self.queue.running.items()
+            if item.started_s < at_s
+        }
+        items += running.values()
+        ran_s = {}
+        for item in items:
+            digest, length_s = item.event.digest, at_s - item.started_s
+            ran_s[digest] = max(length_s, ran_s.get(digest, 0.0))
+        suspects = [digest for digest in ran_s if self.crashes.count(digest)]
+        report = CrashReport(
+            f"{items[0].event.instance}-{round(at_s * 1000):x}",
+            at_s,
+            tuple(LostRun(digest, length_s) for digest, length_s in ran_s.items()),
+            suspects[0] if len(suspects) == 1 else "",
+        )
+        for work_id in running:
+            self._reported[work_id] = report
+        return report
+
+    def _log_crash(self, report, lost):
+        requests = [
+            f"{item.event.request_id} {item.event.digest}" for item, _ in lost.values()
+        ]
+        fields = {
+            "crash": report.crash_id,
+            "instance": next(iter(lost.values()))[0].event.instance,
+            "requests": requests,
+            "runs": len(report.runs),
+            "only_suspect": report.only_suspect,
+        }
+        return LogDecision("target crashed", fields)
+
+    def _reply_failure(self, item, event, report):
         outcome = UNKNOWN if event.sent else NOT_RUN
         decision = LogDecision(
             "target gave no answer",
@@ -345,12 +505,18 @@
             event.sent,
             event.step,
             retry_after_s=TARGET_ERROR_RETRY_S,
-            target_unavailable=not event.sent,
+            target_unavailable=not event.sent or report is not None,
+            crash_reports=() if report is None else (report,),
         )
-        return [decision, reply, *self._start_next(event.now_s)]
+        return [decision, reply]
 
     def handle_timeout(self, event):
         """Refuse queued work, or cancel running work, when its timer fires."""
+        held = self.held.pop(event.subject, None)
+        if held is not None:
+            return self._refuse(
+                held, event.now_s, "waited for others in crashes", LATE_RETRY_AFTER_S
+            )
         item = self.queue.remove_waiting(event.subject)
         if item is not None:
             return self._refuse(
--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -36,8 +36,8 @@
 # Received bytes that a connection holds before they are read: a head, or what a peer
 # sends unasked while the connection is idle.
 MAX_UNREAD_BYTES = 262_144
-
-
+# For a connection without an answer that says how long its peer keeps it.
+UNUSED_KEEP_ALIVE = HTTPHeaders({"Keep-Alive": "timeout=2"})
 KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 
 
@@ -249,6 +249,20 @@
         finally:
             timer.cancel()
 
+    async def is_refused(self, address, timeout_s):
+        """Return whether an address refuses a new connection.
+
+        One that it accepts is kept for the next request.
+
+        :param timeout_s: the longest to wait; no answer is no refusal.
+        """
+        try:
+            stream = await self._connect(address, timeout_s, Exchange(address))
+        except ExchangeError as error:
+            return error.step == REFUSED
+        self._keep_idle(address, stream, UNUSED_KEEP_ALIVE)
+        return False
+
     def _time_out(self, address, exchange):
         # The idle connections to the peer may be dead too; new ones may work.
         self.drop_idle(address)
--- a/balsamdeal/net/node_codec.py
+++ b/balsamdeal/net/node_codec.py
@@ -26,6 +26,7 @@
 )
 from balsamdeal.errors import ExchangeError
 from balsamdeal.net.answer_checks import parse_rate
+from balsamdeal.net.crash_codec import decode_reports, encode_reports
 from balsamdeal.net.messages import Answer, Payload, compute_digest
 
 # Header of work that carries a ``LimitReport``: the requests per second and the age in
@@ -34,6 +35,8 @@
 LIMIT_HEADER = "Target-Limit"
 # Header of a reply that carries a ``LinkReport``: milliseconds and Mbit/s.
 LINK_HEADER = "Node-Link"
+# Header of work and of a reply that carries ``CrashReport`` objects.
+CRASHES_HEADER = "Crash-Reports"
 # Nodes address each other by IP and port, but HTTP/1.1 requires a Host header.
 PLACEHOLDER_HOST = "n"
 OUTCOMES = (ANSWERED, NOT_RUN, UNKNOWN)
@@ -57,15 +60,18 @@
 )
 
 
-def make_work_headers(effect):
+def make_work_headers(effect, now_s):
     """Return the HTTP headers of the message that carries an attempt.
 
     :param effect: the ``SendAttempt``.
+    :param now_s: the event loop's time in seconds.
     """
     headers = HTTPHeaders({"Host": PLACEHOLDER_HOST})
     report = effect.limit_report
     if report is not None:
         headers[LIMIT_HEADER] = f"{report.per_s:g} {report.age_s:.3f}"
+    if effect.crash_reports:
+        headers[CRASHES_HEADER] = encode_reports(effect.crash_reports, now_s)
     return headers
 
 
@@ -78,12 +84,18 @@
     return LimitReport(*values)
 
 
-def make_reply_headers(reply):
-    """Return the HTTP headers of the message that carries a ``WorkReply``."""
+def make_reply_headers(reply, now_s):
+    """Return the HTTP headers of the message that carries a ``WorkReply``.
+
+    :param now_s: the event loop's time in seconds.
+    """
+    headers = HTTPHeaders()
     link = reply.load.link
-    if link is None:
-        return HTTPHeaders()
-    return HTTPHeaders({LINK_HEADER: f"{link.wait_s * 1000:.0f} {link.mbps:g}"})
+    if link is not None:
+        headers[LINK_HEADER] = f"{link.wait_s * 1000:.0f} {link.mbps:g}"
+    if reply.crash_reports:
+        headers[CRASHES_HEADER] = encode_reports(reply.crash_reports, now_s)
+    return headers
 
 
 def _decode_link_report(http_headers):
@@ -204,6 +216,7 @@
                 now_s,
                 _decode_limit_report(http_headers),
                 digest=compute_digest(payload),
+                crash_reports=decode_reports(http_headers.get(CRASHES_HEADER), now_s),
             )
         except (ValueError, TypeError, struct.error, zlib.error) as error:
             raise ExchangeError(
@@ -244,12 +257,13 @@
         head += [answer.status, answer.reason, pairs]
         return self._encode(head, answer.body)
 
-    def decode_reply(self, message, peer, request_id, http_headers):
+    def decode_reply(self, message, peer, request_id, http_headers, now_s):
         """Return the ``WorkReply``, and the target's ``Answer`` or None.
 
         :param peer: the address of the node that sent it, for errors.
         :param request_id: the id of the request, for the header that echoes it.
         :param http_headers: the HTTP headers of the message.
+        :param now_s: the event loop's time in seconds.
         :raises ExchangeError: when the message is not a valid reply.
         """
         try:
@@ -288,6 +302,7 @@
                 bool(failed),
                 bool(target_unavailable),
                 load,
+                decode_reports(http_headers.get(CRASHES_HEADER), now_s),
             )
             if reply.outcome != ANSWERED:
                 return reply, None
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -27,6 +27,7 @@
 )
 from balsamdeal.net.connections import ConnectionPool, Exchange
 from balsamdeal.net.control import Control
+from balsamdeal.net.crash_messages import CRASHES_PATH, CrashMessenger
 from balsamdeal.net.following import POLL_PATH, ConfigReplicator
 from balsamdeal.net.link_sender import LinkSender
 from balsamdeal.net.messages import (
@@ -61,6 +62,8 @@
 # (128 MB) have left beside a node's own 45 MB. An answer is copied once it is whole.
 MAX_ANSWER_BYTES = 8_388_608
 MAX_ANSWERS_BYTES = 25_165_824
+# How long the target may take to accept a connection before a lost run is replied to.
+CHECK_TIMEOUT_S = 0.2
 # Status of the answer to a message of another node that cannot be decoded. Nothing of
 # it has run.
 UNDECODED = 400
@@ -124,6 +127,7 @@
         self.stopping = False
         self.control = Control(self)
         self.replicator = ConfigReplicator(self)
+        self.crash_messenger = CrashMessenger(self)
         self.servers = []
         self._calls = {}
         self._attempts = {}
@@ -151,10 +155,12 @@
             request_events.RefuseCall: self._refuse_call,
             request_events.DropCall: self._drop_call,
             request_events.RunWork: self._run_work,
+            request_events.CheckTarget: self._check_target,
             request_events.CancelWork: self._cancel_work,
             request_events.ReplyWork: self._reply_work,
             request_events.LogDecision: self._write_decision,
             **self.replicator.effect_handlers,
+            **self.crash_messenger.effect_handlers,
         }
 
     # Lifecycle
@@ -351,7 +357,7 @@
                 effect.node_address,
                 "POST",
                 "/",
-                make_work_headers(effect),
+                make_work_headers(effect, self.loop.time()),
                 message,
                 timeout_s=effect.time_left_s + REPLY_SLACK_S,
                 non_idempotent=not effect.idempotent,
@@ -363,7 +369,11 @@
                 )
             request_id = payload.get_header(self.names.request_id)
             reply, answer = self.codec.decode_reply(
-                response.body, effect.node_address, request_id, response.headers
+                response.body,
+                effect.node_address,
+                request_id,
+                response.headers,
+                self.loop.time(),
             )
         except ExchangeError as error:
             self._attempts.pop(effect.attempt_id, None)
@@ -409,6 +419,8 @@
     def _receive_from_node(self, connection, start_line, headers, body):
         if start_line.path == POLL_PATH:
             self.replicator.receive_poll(connection, body)
+        elif start_line.path == CRASHES_PATH:
+            self.crash_messenger.receive(connection, body)
         else:
             self._receive_work(connection, headers, body)
 
@@ -500,6 +512,15 @@
             )
         )
 
+    def _check_target(self, effect):
+        self.tasks.spawn(self._exchange_check())
+
+    async def _exchange_check(self):
+        address = self.settings.target_address
+        refused = await self.target_pool.is_refused(address, CHECK_TIMEOUT_S)
+        self.metrics.count("target_checks")
+        self.handle(request_events.TargetChecked(refused, self.loop.time()))
+
     def _cancel_work(self, effect):
         self._clear_timer(WORK_TIMER, effect.work_id)
         work = self._work.get(effect.work_id)
@@ -519,7 +540,7 @@
             return
         answer = work.answer if reply.outcome == request_events.ANSWERED else None
         message = self.codec.encode_reply(reply, answer, work.request_id)
-        headers = make_reply_headers(reply)
+        headers = make_reply_headers(reply, self.loop.time())
         self.link_sender.send(
             work.connection, headers, message, effect.due_s, work.request_id
         )
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from balsamdeal.core import request_events
+from balsamdeal.core import crash_news, request_events
 from balsamdeal.core.proxy import Proxy
 from tests.core.test_routes import make_configuration, make_route
 from tests.core.test_targets import make_target
@@ -22,13 +22,21 @@
 CALLER_DELAY_S = 0.008
 WINDOW_BYTES = 65_536
 SMALL_REPLY_BYTES = 300
+# A request that crashes targets does so after this time; they are back later.
+CRASH_AFTER_S = 0.1
+RESTART_S = 4.0
+# A refused connection to a target on the same VM.
+CHECK_S = 0.0005
+TICK_S = 0.25
 
 
 @dataclass
 class Load:
     """Callers of one route at one node: a Poisson process between two times.
 
-    ``answer_bytes`` is the mean size of an answer.
+    ``answer_bytes`` is the mean size of an answer. All requests are alike if ``digest``
+    is set, else each is another one. If ``crashes``, each crashes the target that runs
+    it.
     """
 
     node: str
@@ -40,6 +48,8 @@
     until_s: float = 1e9
     retries: int = 2
     answer_bytes: float = SMALL_REPLY_BYTES
+    digest: str = ""
+    crashes: bool = False
 
 
 @dataclass
@@ -52,6 +62,7 @@
     ended_s: float | None = None
     status: int | None = None
     refusals: int = 0
+    digest: str = ""
 
 
 @dataclass
@@ -60,7 +71,8 @@
 
     A ``speed`` below 1 makes it slower. If ``broken``, it answers with failures; if
     ``down``, its node cannot be reached. All answers carry ``notice``. ``starts`` holds
-    the time of each run, and its request's node.
+    the time of each run, and its request's node. While ``crashed``, it refuses
+    connections; ``crashes_s`` holds the time of each crash.
     """
 
     node: str
@@ -68,6 +80,8 @@
     speed: float = 1.0
     broken: bool = False
     down: bool = False
+    crashed: bool = False
+    crashes_s: list = field(default_factory=list)
     running: dict = field(default_factory=dict)
     max_running: int = 0
     runs: int = 0
@@ -145,6 +159,8 @@
         self._next_chunks_s = {}
         self._calls = {}
         self._work = {}
+        self.crash_messages = 0
+        self._exchanges = {}
         self.nodes = {}
         self.domains = {}
         self.targets = {}
@@ -185,6 +201,9 @@
             ),
             request_events.DropCall: lambda node, e: None,
             request_events.RunWork: self._run,
+            request_events.CheckTarget: self._check_target,
+            crash_news.SendCrashNews: self.send_crash_news,
+            crash_news.AnswerCrashNews: self._answer_crash_news,
             request_events.CancelWork: self._cancel_work,
             request_events.ReplyWork: self._reply,
             request_events.LogDecision: lambda node, e: self.decisions.append(e),
@@ -250,6 +269,7 @@
         if self.now_s < load.until_s:
             self.at(self.now_s + self._draw_gap(load), self._arrive, load)
             request = CallerRequest(load, self.now_s, load.retries)
+            request.digest = load.digest or f"one-{len(self.requests)}"
             self.requests.append(request)
             self._send_request(request)
 
@@ -264,6 +284,7 @@
             request.load.path,
             time_left_s,
             self.now_s,
+            request.digest,
         )
         self.handle(request.load.node, event)
 
@@ -313,7 +334,11 @@
             )
             self.handle(node, failure)
             return
-        event = request_events.make_work(effect, work_id, str(work_id), self.now_s)
+        request = self._calls.get(self._work[work_id][3])
+        digest = request.digest if request else ""
+        event = request_events.make_work(
+            effect, work_id, str(work_id), self.now_s, digest
+        )
         self.handle(other, event)
 
     def _cancel_attempt(self, node, effect):
@@ -384,6 +409,11 @@
     def _run(self, node, effect):
         target = self.targets[node]
         request = self._calls.get(self._work[effect.work_id][3])
+        if target.crashed:
+            self.at(self.now_s, self._fail_run, node, effect.work_id, False, "refused")
+            return
+        if request and request.load.crashes:
+            self.at(self.now_s + CRASH_AFTER_S, self._crash_run, node, effect.work_id)
         work_s = request.load.work_s if request else 0.1
         length_s = work_s * self.random.lognormvariate(0.0, 0.3) / target.speed
         if self.random.random() < 0.01:
@@ -396,6 +426,68 @@
             length_s = 0.001
         self.at(self.now_s + length_s, self._end_run, node, effect.work_id)
 
+    def _fail_run(self, node, work_id, sent, step):
+        self.targets[node].running.pop(work_id, None)
+        event = request_events.TargetFailed(work_id, sent, step, self.now_s)
+        self.handle(node, event)
+
+    def _crash_run(self, node, work_id):
+        if work_id in self.targets[node].running:
+            self.crash(node)
+
+    def crash(self, node):
+        """End a node's target with all of its runs; it is back RESTART_S later."""
+        target = self.targets[node]
+        target.crashed = True
+        target.crashes_s.append(self.now_s)
+        self.at(self.now_s + RESTART_S, setattr, target, "crashed", False)
+        for work_id in list(target.running):
+            self._fail_run(node, work_id, True, "read")
+
+    def count_crashes(self, from_s=0.0):
+        """Return how many crashes of targets were later than a time."""
+        return sum(
+            at_s > from_s
+            for target in self.targets.values()
+            for at_s in target.crashes_s
+        )
+
+    def _check_target(self, node, effect):
+        self.at(self.now_s + CHECK_S, self._end_check, node)
+
+    def _end_check(self, node):
+        refused = self.targets[node].crashed
+        self.handle(node, request_events.TargetChecked(refused, self.now_s))
+
+    # News of crashes
+
+    def tick_crash_news(self):
+        """Let all nodes begin the exchanges that are due, from now on."""
+        for node, proxy in self.nodes.items():
+            for effect in proxy.crash_news.tick(self.now_s):
+                self.send_crash_news(node, effect)
+        self.at(self.now_s + TICK_S, self.tick_crash_news)
+
+    def send_crash_news(self, node, effect):
+        """Carry out a ``SendCrashNews`` of a node."""
+        self.crash_messages += 1
+        exchange_id = None
+        if effect.exchange:
+            exchange_id = next(self._ids)
+            self._exchanges[exchange_id] = node
+        self._deliver_crash_news(node, effect.address, effect, exchange_id)
+
+    def _answer_crash_news(self, node, effect):
+        other = self._exchanges.pop(effect.exchange_id)
+        self._deliver_crash_news(node, other, effect, None)
+
+    def _deliver_crash_news(self, node, other, effect, exchange_id):
+        at_s = self.now_s + self._delay_s(node, other)
+        event = crash_news.CrashNewsReceived(
+            effect.reports, effect.cleared, exchange_id, at_s
+        )
+        self.at(at_s, self.handle, other, event)
+
     def _end_run(self, node, work_id):
         target = self.targets[node]
         if target.running.pop(work_id, None):
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -11,6 +11,8 @@
     MAX_TARGETS_TRIED_OVERLOADED,
     Calls,
 )
+from balsamdeal.core.crash_news import CrashNews
+from balsamdeal.core.crashes import CrashTable
 from balsamdeal.core.placement import Placement
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.work_queue import LATE_RETRY_AFTER_S
@@ -42,7 +44,9 @@
         self.targets.apply_listing(entries, 1, False, 0.0)
         random = Random(3)
         placement = Placement(self.targets, "erie", "node-x", random)
-        self.calls = Calls(placement, random, 0.2)
+        self.crashes = CrashTable()
+        news = CrashNews(self.crashes, self.targets, "node-x", "erie", random)
+        self.calls = Calls(placement, random, 0.2, news)
         self.calls.configuration = make_configuration(
             1,
             make_route("safe", "/safe/"),
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -1,11 +1,19 @@
 """Tests of work at a target's node: admission, order, outcomes, leaving, stopping."""
 
 import unittest
+from random import Random
 
 from balsamdeal.core import request_events
+from balsamdeal.core.crash_news import CrashNews
+from balsamdeal.core.crashes import CrashReport, CrashTable, LostRun
 from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.request_events import TargetNotice
-from balsamdeal.core.target_work import LEAVING_GRACE_S, START_TIMER, TargetWork
+from balsamdeal.core.target_work import (
+    LEAVING_GRACE_S,
+    MAX_SUSPECTS,
+    START_TIMER,
+    TargetWork,
+)
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.work_queue import MAX_WAITING_BYTES
 from tests.core.test_targets import make_target
@@ -32,9 +40,14 @@
 
     def setUp(self):
         self.targets = TargetList()
-        self.target_work = TargetWork(self.targets, "node-a")
+        self.target_work = self.make_target_work()
         self.list_target(1, slots=2)
 
+    def make_target_work(self, **options):
+        random = Random(5)
+        news = CrashNews(CrashTable(), self.targets, "node-a", "erie", random)
+        return TargetWork(self.targets, "node-a", news, **options)
+
     def list_target(self, revision, now_s=0.0, **changes):
         target = make_target("a", revision, **changes)
         self.targets.apply_changes([("a", target, revision)], revision, now_s)
@@ -48,9 +61,21 @@
         event = request_events.TargetReplied(work_id, now_s=now_s, **fields)
         return self.target_work.handle_reply(event)
 
+    def fail(self, work_id, now_s):
+        event = request_events.TargetFailed(work_id, True, "read", now_s)
+        return self.target_work.handle_failure(event)
+
     def filter_effects(self, effects, kind):
         return [effect for effect in effects if isinstance(effect, kind)]
 
+    def check_target(self, effects, refused, now_s):
+        """Answer the only check of the target among effects."""
+        self.assertEqual(
+            len(self.filter_effects(effects, request_events.CheckTarget)), 1
+        )
+        event = request_events.TargetChecked(refused, now_s)
+        return self.target_work.handle_checked(event)
+
     def get_started_ids(self, effects):
         return [
             effect.work_id
@@ -73,7 +98,7 @@
 
     # Guards against runs whose answers cannot leave the VM before callers give up.
     def test_large_answer_that_the_link_cannot_carry_in_time_is_refused(self):
-        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(3.5))
+        self.target_work = self.make_target_work(link=LinkQueue(3.5))
         self.list_target(2, slots=2)
         self.receive(1)
         reply = self.filter_effects(
@@ -92,7 +117,7 @@
     # Guards against large answers that are taken for small ones, as the target has
     # declined or failed other requests, whose answers are small.
     def test_only_good_answers_tell_the_usual_size(self):
-        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(3.5))
+        self.target_work = self.make_target_work(link=LinkQueue(3.5))
         self.list_target(2, slots=2)
         self.receive(1)
         self.end(1, 0.1, answer_bytes=90_000)
@@ -107,7 +132,7 @@
     # Guards against answers to patient callers that wait for the link and take all
     # memory of a VM.
     def test_large_answers_are_refused_while_many_bytes_wait_for_the_link(self):
-        self.target_work = TargetWork(self.targets, "node-a", link=LinkQueue(50.0))
+        self.target_work = self.make_target_work(link=LinkQueue(50.0))
         self.list_target(2, slots=2)
         patient = {"time_left_s": 60.0}
         self.receive(1, **patient)
@@ -184,8 +209,73 @@
         ):
             event = request_events.TargetFailed(work_id, sent, "read", 0.1)
             effects = self.target_work.handle_failure(event)
+            if sent:
+                effects += self.check_target(effects, refused=False, now_s=0.1)
             self.assertEqual(self.get_outcomes(effects), [(work_id, outcome)])
 
+    # Guards against one crash that counts as several, as its runs end one by one.
+    def test_crash_is_reported_once_with_all_its_runs(self):
+        self.receive(1, digest="one")
+        self.receive(2, digest="two")
+        effects = self.fail(1, 0.1)
+        self.assertEqual(self.get_outcomes(effects), [])
+        effects = self.check_target(effects, refused=True, now_s=0.1)
+        replies = self.filter_effects(effects, request_events.ReplyWork)
+        (report,) = replies[0].reply.crash_reports
+        self.assertEqual(replies[0].reply.outcome, request_events.UNKNOWN)
+        self.assertEqual({run.digest for run in report.runs}, {"one", "two"})
+        (reply,) = self.filter_effects(self.fail(2, 0.1), request_events.ReplyWork)
+        self.assertEqual(reply.reply.crash_reports, (report,))
+        self.assertEqual(self.target_work.crashes.count("two"), 1)
+
+    # Guards against a broken answer that is taken for a crash.
+    def test_lost_run_of_a_target_that_accepts_connections_is_no_crash(self):
+        self.receive(1, digest="one")
+        effects = self.fail(1, 0.1)
+        effects = self.check_target(effects, refused=False, now_s=0.1)
+        reply = self.filter_effects(effects, request_events.ReplyWork)[0].reply
+        self.assertEqual(reply.crash_reports, ())
+        self.assertEqual(self.target_work.crashes.count("one"), 0)
+
+    def suspect(self, *digests, crashes=1):
+        for number in range(crashes):
+            runs = tuple(LostRun(digest, 0.1) for digest in digests)
+            report = CrashReport(f"c{number}", number - 10.0, runs)
+            self.target_work.crashes.merge(report, 0.0)
+
+    # Guards against a crash that tells nothing, as all that was in an earlier one runs
+    # at the same target again.
+    def test_requests_that_were_in_a_crash_run_apart(self):
+        self.list_target(2, slots=9)
+        self.suspect("a", "b", "c", "d")
+        for work_id, digest in enumerate("abcd", 1):
+            started = self.get_started_ids(self.receive(work_id, digest=digest))
+            self.assertEqual(started, [work_id] if work_id <= MAX_SUSPECTS else [])
+        self.assertEqual(self.get_started_ids(self.receive(9, digest="new")), [9])
+        self.assertEqual(self.get_started_ids(self.end(1, 0.1)), [3])
+        effects = self.target_work.handle_timeout(
+            request_events.TimerFired("work", 4, 0.6)
+        )
+        self.assertEqual(self.get_outcomes(effects), [(4, request_events.NOT_RUN)])
+        self.assertEqual(self.target_work.held, {})
+
+    def test_request_that_was_in_two_crashes_runs_beside_no_other_suspect(self):
+        self.list_target(2, slots=9)
+        self.suspect("a", "b", crashes=2)
+        self.assertEqual(self.get_started_ids(self.receive(1, digest="a")), [1])
+        self.assertEqual(self.get_started_ids(self.receive(2, digest="b")), [])
+        event = request_events.WorkAbandoned(1, 0.1)
+        self.assertEqual(self.get_started_ids(self.target_work.abandon(event)), [2])
+
+    # Guards against a refusal that says "not run" of work that has run.
+    def test_request_that_crashes_targets_is_refused_and_has_not_run(self):
+        self.suspect("a", crashes=3)
+        effects = self.receive(1, digest="a")
+        self.assertEqual(self.get_started_ids(effects), [])
+        (reply,) = self.filter_effects(effects, request_events.ReplyWork)
+        self.assertEqual(reply.reply.outcome, request_events.NOT_RUN)
+        self.assertEqual(len(reply.reply.crash_reports), 3)
+
     def test_declined_work_has_not_run_but_reached_the_target(self):
         self.fill_slots()
         effects = self.end(1, 0.01, declined=True)
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -92,7 +92,9 @@
     def test_limit_travels_beside_the_head(self):
         message = self.codec.encode_work(make_attempt(), "board", make_payload())
         for report in (LimitReport(16.2, 0.125), LimitReport(0.0, 80.0), None):
-            headers = make_work_headers(replace(make_attempt(), limit_report=report))
+            headers = make_work_headers(
+                replace(make_attempt(), limit_report=report), 0.0
+            )
             event, _, _ = self.codec.decode_work(message, 1, 0.0, headers)
             self.assertEqual(event.limit_report, report)
         for text in ("", "4", "x 1", "4 -1", "4 1 1", "nan 1"):
@@ -104,7 +106,8 @@
         answer = make_answer()
         message = self.codec.encode_reply(reply, answer, REQUEST_ID)
         self.assertEqual(
-            self.codec.decode_reply(message, "peer", REQUEST_ID, {}), (reply, answer)
+            self.codec.decode_reply(message, "peer", REQUEST_ID, {}, 0.0),
+            (reply, answer),
         )
 
     def test_link_report_travels_beside_the_head(self):
@@ -112,19 +115,19 @@
             load = replace(LOAD, link=link)
             reply = WorkReply(request_events.ANSWERED, True, "", load=load)
             message = self.codec.encode_reply(reply, make_answer(), REQUEST_ID)
-            headers = make_reply_headers(reply)
-            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers)
+            headers = make_reply_headers(reply, 0.0)
+            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers, 0.0)
             self.assertEqual(decoded, reply)
         for text in ("", "4", "x 1", "4 -1", "4 1 1", "nan 1", "5 0"):
             headers = {LINK_HEADER: text}
-            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers)
+            decoded, _ = self.codec.decode_reply(message, "p", REQUEST_ID, headers, 0.0)
             self.assertIsNone(decoded.load.link)
 
     def test_answer_without_request_id_gets_none(self):
         reply = WorkReply(request_events.ANSWERED, True, "", load=LOAD)
         answer = make_answer(headers=(("Seal", "1"),))
         message = self.codec.encode_reply(reply, answer, REQUEST_ID)
-        _, decoded = self.codec.decode_reply(message, "peer", REQUEST_ID, {})
+        _, decoded = self.codec.decode_reply(message, "peer", REQUEST_ID, {}, 0.0)
         self.assertEqual(decoded, answer)
 
     def test_refusal_round_trip(self):
@@ -138,7 +141,7 @@
         )
         message = self.codec.encode_reply(reply, None, REQUEST_ID)
         self.assertEqual(
-            self.codec.decode_reply(message, "peer", REQUEST_ID, {}), (reply, None)
+            self.codec.decode_reply(message, "peer", REQUEST_ID, {}, 0.0), (reply, None)
         )
 
     def test_message_is_smaller_than_plain_headers(self):
@@ -164,8 +167,8 @@
         )
         for message, other in ((longer[1], answered), (longer[2], refused)):
             self.assertEqual(
-                self.codec.decode_reply(message, "peer", REQUEST_ID, {}),
-                self.codec.decode_reply(other, "peer", REQUEST_ID, {}),
+                self.codec.decode_reply(message, "peer", REQUEST_ID, {}, 0.0),
+                self.codec.decode_reply(other, "peer", REQUEST_ID, {}, 0.0),
             )
 
     def test_malformed_message_is_refused(self):
@@ -190,7 +193,7 @@
                     self.codec.decode_work(message, 1, 0.0, {})
                 self.assertFalse(caught.exception.written)
                 with self.assertRaises(ExchangeError) as caught:
-                    self.codec.decode_reply(message, "peer", REQUEST_ID, {})
+                    self.codec.decode_reply(message, "peer", REQUEST_ID, {}, 0.0)
                 self.assertTrue(caught.exception.written)
 
     def test_head_that_inflates_over_the_limit_is_refused(self):
