--- a/standins/server.py
+++ b/standins/server.py
@@ -85,8 +85,11 @@
         for writer in self._writers:
             writer.transport.abort()
 
-    def _crash(self, path):
-        """End like a process that is killed, and start again later."""
+    def crash(self, path=""):
+        """End like a process that is killed, and start again later.
+
+        :param path: that of the request that caused it, if any.
+        """
         loop = asyncio.get_running_loop()
         self.crashes.append((loop.time(), path))
         if self._server.is_serving():
@@ -142,7 +145,7 @@
         path = line.split()[1]
         if path in self.crashing_paths:
             await asyncio.sleep(self.crash_after_s)
-            self._crash(path)
+            self.crash(path)
             return False
         if not await self._simulate_run(reader):
             self.aborted_runs += 1
--- a/tests/net/test_node_codec.py
+++ b/tests/net/test_node_codec.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from balsamdeal.core import request_events
+from balsamdeal.core.crashes import CrashReport, LostRun
 from balsamdeal.core.request_events import (
     LimitReport,
     LinkReport,
@@ -101,6 +102,21 @@
             event, _, _ = self.codec.decode_work(message, 1, 0.0, {LIMIT_HEADER: text})
             self.assertIsNone(event.limit_report)
 
+    def test_crash_reports_travel_beside_the_head(self):
+        reports = (CrashReport("c", 9.0, (LostRun("d", 0.1),), "d"),)
+        effect = replace(make_attempt(), crash_reports=reports)
+        message = self.codec.encode_work(effect, "board", make_payload())
+        headers = make_work_headers(effect, 10.0)
+        event, _, _ = self.codec.decode_work(message, 1, 10.0, headers)
+        self.assertEqual(event.crash_reports, reports)
+        reply = WorkReply(
+            request_events.UNKNOWN, True, "read", load=LOAD, crash_reports=reports
+        )
+        message = self.codec.encode_reply(reply, None, REQUEST_ID)
+        headers = make_reply_headers(reply, 10.0)
+        decoded = self.codec.decode_reply(message, "p", REQUEST_ID, headers, 10.0)
+        self.assertEqual(decoded, (reply, None))
+
     def test_answer_round_trip(self):
         reply = WorkReply(request_events.ANSWERED, True, "", 0.0, 0.108, load=LOAD)
         answer = make_answer()
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -1,7 +1,8 @@
-"""Tests of requests that crash each server that begins to run them."""
+"""Tests of crashes of servers, and of requests that cause them."""
 
 import asyncio
 import itertools
+import signal
 
 from balsamdeal.errors import ExchangeError
 from tests.platform.fleet import FleetCase
@@ -83,3 +84,47 @@
         late, count = self.list_late_crashes()
         self.assertLessEqual(len(late), MAX_LATE_ARRIVALS, count)
         self.assertEqual(set(self.statuses[-10:]), {503})
+
+    # Guards against a request that crashes servers again after a restart of a node.
+    async def test_node_that_has_restarted_refuses_the_request(self):
+        await self.repeat("/safe/crash", 2.0)
+        for index in (0, 3):
+            self.signal_node(index, signal.SIGKILL)
+            await asyncio.to_thread(self.processes[index].wait)
+            self.start_node(index)
+        for index in (0, 3):
+            await self.wait_until_ready(index)
+        await asyncio.sleep(SETTLE_S)
+        before = sum(len(server.crashes) for server in self.servers)
+        for index in (0, 3):
+            response = await self.call("/safe/crash", f"late-{index}", index)
+            self.assertEqual(response.status, 503)
+            self.assertGreater(float(response.headers["Retry-After"]), 1.0)
+        after = sum(len(server.crashes) for server in self.servers)
+        self.assertEqual(after, before)
+
+    # Guards against a frequent request that is refused, as it runs at most servers that
+    # crash for another reason.
+    async def test_ordinary_crashes_do_not_shut_out_a_frequent_request(self):
+        loop = asyncio.get_running_loop()
+        for server in self.servers:
+            server.delay_s = 0.1
+        for index, at_s in ((0, 1.0), (1, 1.6), (2, 2.2), (3, 2.2)):
+            loop.call_later(at_s, self.servers[index].crash)
+        statuses = []
+
+        async def call(number):
+            index = number % self.nodes
+            response = await self.call("/safe/frequent", f"f-{number}", index)
+            statuses.append((loop.time() - begin_s, response.status))
+
+        begin_s = loop.time()
+        calls = []
+        while loop.time() < begin_s + 4.0:
+            calls.append(asyncio.ensure_future(call(next(self.numbers))))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*calls)
+        self.assertEqual(sum(len(server.crashes) for server in self.servers), 4)
+        self.assertNotIn("request crashes targets", self.read_logs())
+        late = [status for at_s, status in statuses if at_s > 3.4]
+        self.assertGreaterEqual(late.count(200), 0.95 * len(late))
