Log all runs that a crash has ended

The line `target crashed` named those whose connections had been seen to close before the target was checked; the report to other nodes had all of them.

--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -434,56 +434,46 @@
         lost, self._lost = self._lost, {}
         result, report = [], None
         if event.refused:
-            report = self._make_report(lost, event.now_s)
-            result += self.crash_news.publish(report, event.now_s)
-            result.append(self._log_crash(report, lost))
+            report, decision = self._report_crash(lost)
+            result = [decision, *self.crash_news.publish(report, event.now_s)]
         for item, failure in lost.values():
             failure = replace(failure, now_s=event.now_s)
             result += self._reply_failure(item, failure, report)
         return result + self._start_next(event.now_s)
 
-    def _make_report(self, lost, now_s):
-        """Return the report of a crash that has ended runs.
+    def _report_crash(self, lost):
+        """Return the ``CrashReport`` of a crash, and the decision to log.
 
         :param lost: pairs of ``WorkItem`` and ``TargetFailed`` by work id. Runs whose
             failure is still due are added.
         """
-        items = [item for item, _ in lost.values()]
         at_s = min(failure.now_s for _, failure in lost.values())
-        self._reported.clear()
-        running = {
+        still_due = {
             work_id: item
             for work_id, item in self.queue.running.items()
             if item.started_s < at_s
         }
-        items += running.values()
+        items = [*(item for item, _ in lost.values()), *still_due.values()]
         ran_s = {}
         for item in items:
             digest, length_s = item.event.digest, at_s - item.started_s
             ran_s[digest] = max(length_s, ran_s.get(digest, 0.0))
         suspects = [digest for digest in ran_s if self.crashes.count(digest)]
+        instance = items[0].event.instance
         report = CrashReport(
-            f"{items[0].event.instance}-{round(at_s * 1000):x}",
+            f"{instance}-{round(at_s * 1000):x}",
             at_s,
             tuple(LostRun(digest, length_s) for digest, length_s in ran_s.items()),
             suspects[0] if len(suspects) == 1 else "",
         )
-        for work_id in running:
-            self._reported[work_id] = report
-        return report
-
-    def _log_crash(self, report, lost):
-        requests = [
-            f"{item.event.request_id} {item.event.digest}" for item, _ in lost.values()
-        ]
+        self._reported = dict.fromkeys(still_due, report)
         fields = {
             "crash": report.crash_id,
-            "instance": next(iter(lost.values()))[0].event.instance,
-            "requests": requests,
-            "runs": len(report.runs),
+            "instance": instance,
+            "runs": [f"{item.event.request_id} {item.event.digest}" for item in items],
             "only_suspect": report.only_suspect,
         }
-        return LogDecision("target crashed", fields)
+        return report, LogDecision("target crashed", fields)
 
     def _reply_failure(self, item, event, report):
         outcome = UNKNOWN if event.sent else NOT_RUN
