Answer news of a crash with the other crashes of the same requests

Callers in a domain that was cut off while others learned of a request could crash targets there anew: exchanges reach it within some seconds only, and its nodes told others of their crash without hearing of those before. Ruled out: more frequent exchanges with other domains, whose bytes are dear as long as a request is refused.

--- a/balsamdeal/core/crash_news.py
+++ b/balsamdeal/core/crash_news.py
@@ -27,13 +27,15 @@
 class CrashNewsReceived:
     """Another node told what it knows of crashes.
 
-    ``cleared`` are pairs of digest and the time at which it ran well. ``exchange_id``
-    is None, or that of an exchange, which is to be answered.
+    ``cleared`` are pairs of digest and the time at which it ran well. ``message_id``
+    is that of a message to answer, None for an answer. ``exchange`` is set if the other
+    node asks for all that this one knows.
     """
 
     reports: tuple[CrashReport, ...]
     cleared: tuple[tuple[str, float], ...]
-    exchange_id: int | None
+    message_id: int | None
+    exchange: bool
     now_s: float
 
 
@@ -49,9 +51,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerCrashNews:
-    """Answers an exchange with what this node knows."""
+    """Answers a message with what this node knows and the other one may not."""
 
-    exchange_id: int
+    message_id: int
     reports: tuple[CrashReport, ...]
     cleared: tuple[tuple[str, float], ...]
 
@@ -105,20 +107,30 @@
         return [SendCrashNews(node, (report,)) for node in chosen]
 
     def handle_news(self, event):
-        """Merge another node's message; answer it if it is an exchange."""
+        """Merge another node's message, and answer it.
+
+        News of a crash is answered with the other crashes of the same requests: its
+        sender may have been cut off when they occurred.
+        """
         result = self.record(event.reports, event.now_s)
         for digest, at_s in event.cleared:
             self.table.clear(digest, at_s)
-        if event.exchange_id is not None:
-            known = {report.crash_id for report in event.reports}
-            reports = tuple(
-                report
-                for report in self.table.list_relevant(event.now_s)
-                if report.crash_id not in known
-            )
+        if event.message_id is None:
+            return result
+        if event.exchange:
+            found = self.table.list_relevant(event.now_s)
             cleared = tuple(self.table.list_cleared(event.now_s))
-            result.append(AnswerCrashNews(event.exchange_id, reports, cleared))
-        return result
+        else:
+            digests = {run.digest for item in event.reports for run in item.runs}
+            found = [
+                report
+                for digest in sorted(digests)
+                for report in self.table.list_evidence(digest)
+            ]
+            cleared = ()
+        known = {report.crash_id for report in event.reports}
+        reports = tuple(item for item in found if item.crash_id not in known)
+        return [*result, AnswerCrashNews(event.message_id, reports, cleared)]
 
     def tick(self, now_s):
         """Begin an exchange with a random node, if one is due."""
--- a/balsamdeal/net/crash_codec.py
+++ b/balsamdeal/net/crash_codec.py
@@ -89,10 +89,10 @@
     return _encode(content).encode()
 
 
-def decode_news(body, exchange_id, now_s):
+def decode_news(body, message_id, now_s):
     """Return the ``CrashNewsReceived`` of a message.
 
-    :param exchange_id: the id of an exchange that it may ask for, or None.
+    :param message_id: the id of the message, or None if it is an answer.
     :raises ValueError: if the message is malformed.
     """
     try:
@@ -104,7 +104,8 @@
         return CrashNewsReceived(
             _unpack(content["reports"], now_s),
             cleared,
-            exchange_id if content.get("exchange") else None,
+            message_id,
+            bool(content.get("exchange")),
             now_s,
         )
     except (KeyError, TypeError, AttributeError, RecursionError) as error:
--- a/balsamdeal/net/crash_messages.py
+++ b/balsamdeal/net/crash_messages.py
@@ -25,7 +25,7 @@
 
     def __init__(self, shell):
         self._shell = shell
-        self._exchanges = {}
+        self._unanswered = {}
         self.effect_handlers = {
             crash_news.SendCrashNews: self._send,
             crash_news.AnswerCrashNews: self._answer,
@@ -65,21 +65,20 @@
     def receive(self, connection, body):
         """Handle another node's message, and answer it."""
         shell = self._shell
-        exchange_id = shell.next_id()
+        message_id = shell.next_id()
         try:
-            event = decode_news(body, exchange_id, shell.loop.time())
+            event = decode_news(body, message_id, shell.loop.time())
         except ValueError as error:
             shell.refuse_message(connection, "malformed news of crashes", error)
             return
         shell.metrics.count("control_bytes", len(body))
-        if event.exchange_id is None:
-            write_response(connection, "POST", 200, HTTPHeaders(), b"")
-        else:
-            self._exchanges[exchange_id] = connection
+        self._unanswered[message_id] = connection
         shell.handle(event)
 
     def _answer(self, effect):
-        connection = self._exchanges.pop(effect.exchange_id)
-        body = encode_news(effect, self._shell.loop.time())
+        connection = self._unanswered.pop(effect.message_id)
+        body = b""
+        if effect.reports or effect.cleared:
+            body = encode_news(effect, self._shell.loop.time())
         self._shell.metrics.count("control_bytes", len(body))
         write_response(connection, "POST", 200, HTTPHeaders(), body)
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -160,7 +160,9 @@
         self._calls = {}
         self._work = {}
         self.crash_messages = 0
-        self._exchanges = {}
+        self._unanswered = {}
+        # A failure domain that is cut off from the others, or None.
+        self.cut_domain = None
         self.nodes = {}
         self.domains = {}
         self.targets = {}
@@ -327,7 +329,7 @@
         if work_id not in self._work:
             return
         node, other, attempt_id, _ = self._work[work_id]
-        if self.targets[other].down:
+        if self.targets[other].down or self._is_cut(node, other):
             del self._work[work_id]
             failure = request_events.AttemptFailed(
                 attempt_id, False, "connect", self.now_s
@@ -471,23 +473,30 @@
     def send_crash_news(self, node, effect):
         """Carry out a ``SendCrashNews`` of a node."""
         self.crash_messages += 1
-        exchange_id = None
-        if effect.exchange:
-            exchange_id = next(self._ids)
-            self._exchanges[exchange_id] = node
-        self._deliver_crash_news(node, effect.address, effect, exchange_id)
+        message_id = next(self._ids)
+        self._unanswered[message_id] = node
+        self._deliver_crash_news(
+            node, effect.address, effect, message_id, effect.exchange
+        )
 
     def _answer_crash_news(self, node, effect):
-        other = self._exchanges.pop(effect.exchange_id)
-        self._deliver_crash_news(node, other, effect, None)
+        other = self._unanswered.pop(effect.message_id)
+        self._deliver_crash_news(node, other, effect)
 
-    def _deliver_crash_news(self, node, other, effect, exchange_id):
+    def _deliver_crash_news(self, node, other, effect, message_id=None, exchange=False):
+        if self._is_cut(node, other):
+            return
         at_s = self.now_s + self._delay_s(node, other)
         event = crash_news.CrashNewsReceived(
-            effect.reports, effect.cleared, exchange_id, at_s
+            effect.reports, effect.cleared, message_id, exchange, at_s
         )
         self.at(at_s, self.handle, other, event)
 
+    def _is_cut(self, node, other):
+        """Return whether no message passes between the domains of two nodes."""
+        domains = {self.domains[node], self.domains[other]}
+        return len(domains) == 2 and self.cut_domain in domains
+
     def _end_run(self, node, work_id):
         target = self.targets[node]
         if target.running.pop(work_id, None):
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from balsamdeal.core.crash_news import CrashNews, CrashNewsReceived
@@ -146,9 +147,25 @@
         sent = [effect for result in effects for effect in result]
         self.assertEqual([effect.exchange for effect in sent], [True] * 3)
         self.table.merge(make_report("c1", 30.0, "bad"), 30.0)
-        event = CrashNewsReceived((), (), 7, 30.0)
+        event = CrashNewsReceived((), (), 7, True, 30.0)
         (answer,) = self.news.handle_news(event)
         self.assertEqual([item.crash_id for item in answer.reports], ["c1"])
+        self.assertEqual(self.news.handle_news(replace(event, message_id=None)), [])
+
+    # Guards against a domain that lets a request crash its targets anew, as it was cut
+    # off when others learned of it.
+    def test_news_is_answered_with_older_crashes_of_the_same_requests(self):
+        for number in (1, 2):
+            report = make_report(f"c{number}", float(number), "bad", f"x{number}")
+            self.table.merge(report, 2.0)
+        event = CrashNewsReceived(
+            (make_report("c9", 50.0, "bad", "new"),), (), 7, False, 50.0
+        )
+        answer = self.news.handle_news(event)[-1]
+        found = {(item.crash_id, item.runs[0].digest) for item in answer.reports}
+        self.assertEqual(found, {("c1", "bad"), ("c2", "bad")})
+        event = CrashNewsReceived((make_report("d", 50.0, "else"),), (), 8, False, 50.0)
+        self.assertEqual(self.news.handle_news(event)[-1].reports, ())
 
 
 class CrashLoadTest(unittest.TestCase):
@@ -250,6 +267,24 @@
         fleet.run(30.0)
         self.check_late(fleet)
 
+    # Guards against a request that crashes targets anew in a domain that was cut off.
+    def test_bad_request_in_a_domain_that_was_cut_off(self):
+        for seed in range(1, 9):
+            with self.subTest(seed):
+                fleet = self.make_fleet(12, seed)
+                self.offer(fleet, "/pickup/", 120)
+                fleet.at(3.0, setattr, fleet, "cut_domain", "d0")
+                fleet.at(9.0, setattr, fleet, "cut_domain", None)
+                for node, domain in fleet.domains.items():
+                    from_s = 9.0 + SETTLE_S if domain == "d0" else 4.0
+                    load = Load(node, "/crash/", 0.5, 8.0, WORK_S, from_s, 25.0)
+                    load.digest, load.crashes = "bad", True
+                    fleet.offer(load)
+                fleet.run(30.0)
+                self.check_late(fleet)
+                late = fleet.count_crashes(9.0 + SETTLE_S)
+                self.assertLessEqual(late, 1)
+
     # Guards against news of a crash that reaches some nodes of a large fleet late.
     def test_news_reaches_all_nodes_of_a_large_fleet_in_time(self):
         for nodes in (12, 195, 810):
--- a/tests/net/test_crash_codec.py
+++ b/tests/net/test_crash_codec.py
@@ -35,15 +35,19 @@
 
     def test_news_round_trip(self):
         cleared = (("d3", 20.5),)
-        for news, exchange_id in (
-            (SendCrashNews("a", REPORTS, cleared, True), 7),
-            (SendCrashNews("a", REPORTS, cleared), None),
-            (AnswerCrashNews(3, REPORTS, cleared), None),
+        for news, message_id, exchange in (
+            (SendCrashNews("a", REPORTS, cleared, True), 7, True),
+            (SendCrashNews("a", REPORTS, cleared), 7, False),
+            (AnswerCrashNews(3, REPORTS, cleared), None, False),
         ):
             expected = CrashNewsReceived(
-                tuple(map(self.shift, REPORTS)), (("d3", 999.5),), exchange_id, OTHER_S
+                tuple(map(self.shift, REPORTS)),
+                (("d3", 999.5),),
+                message_id,
+                exchange,
+                OTHER_S,
             )
-            decoded = decode_news(encode_news(news, 21.0), 7, OTHER_S)
+            decoded = decode_news(encode_news(news, 21.0), message_id, OTHER_S)
             self.assertEqual(decoded, expected)
 
     def test_fields_of_a_later_release_are_ignored(self):
