Soak: requests that crash servers, repeated at any node

A further fault. Links refuse connections while their server is down, as a process that is gone would. At the end, 3 s after the last fault, what has crashed three servers is sent to each node four times, 1.5 s apart; operators allow three arrivals.

--- a/standins/server.py
+++ b/standins/server.py
@@ -46,8 +46,9 @@
     is called with the server, the id of each request that arrives, and that time.
     ``padding`` is appended to the body of each answer. A request for one of
     ``crashing_paths`` ends the server ``crash_after_s`` after it began to run; it is
-    back ``restart_s`` later under another instance id, and ``on_restart``, if set, is
-    called with it. ``crashes`` holds the time and the path of each.
+    back ``restart_s`` later under another instance id. ``on_crash`` and ``on_restart``,
+    if set, are called with it; the latter is a coroutine function.
+    ``crashes`` holds the time and the path of each crash.
 
     :param instance: its instance id; requests that expect another one get status 421.
     """
@@ -67,7 +68,9 @@
         self.crash_after_s = 0.05
         self.restart_s = 1.0
         self.crashes = []
+        self.on_crash = None
         self.on_restart = None
+        self._restart_timer = None
         self.address = None
         self._server = None
         self._writers = set()
@@ -80,7 +83,12 @@
         self.address = f"{host}:{port}"
 
     def stop(self):
-        """Close the server and its connections."""
+        """Close the server and its connections for good."""
+        if self._restart_timer is not None:
+            self._restart_timer.cancel()
+        self._close()
+
+    def _close(self):
         self._server.close()
         for writer in self._writers:
             writer.transport.abort()
@@ -92,16 +100,21 @@
         """
         loop = asyncio.get_running_loop()
         self.crashes.append((loop.time(), path))
-        if self._server.is_serving():
-            self.stop()
-            loop.call_later(self.restart_s, self._restart)
-
-    def _restart(self):
+        if not self._server.is_serving():
+            return
+        self._close()
+        if self.on_crash is not None:
+            self.on_crash(self)
+        self._restart_timer = loop.call_later(
+            self.restart_s, lambda: asyncio.ensure_future(self._restart())
+        )
+
+    async def _restart(self):
         self.instance += "b"
         host, _, port = self.address.rpartition(":")
-        self._restarting = asyncio.ensure_future(self.listen(host, int(port)))
+        await self.listen(host, int(port))
         if self.on_restart is not None:
-            self._restarting.add_done_callback(lambda _: self.on_restart(self))
+            await self.on_restart(self)
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
--- a/tests/platform/test_crashes.py
+++ b/tests/platform/test_crashes.py
@@ -27,7 +27,7 @@
             server.crashing_paths = {"/safe/crash", "/once/crash"}
             server.on_restart = self.list_again
 
-    def list_again(self, server):
+    async def list_again(self, server):
         index = self.servers.index(server)
         self.store.delete(f"servers/{server.instance[:-1]}")
         self.put_entry(index)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -48,6 +48,13 @@
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
 # A server that says it is leaving may get new requests for this long.
 DRAIN_S = 2.0
+# A request that has crashed this many servers may get to servers this many more times,
+# once the time has passed within which nodes have to know.
+CRASHES, MAX_LATE_ARRIVALS, CRASH_SETTLE_S = 3, 3, 3.0
+# It is sent again in so many rounds at the end, so far apart.
+LATE_ROUNDS, LATE_ROUND_GAP_S = 4, 1.5
+# Mean gap between attempts at a request that crashes servers, and how many.
+CRASH_GAP_S, CRASH_ATTEMPTS = 0.3, 12
 # How long a server names a limit, or says that it is leaving, at most.
 MAX_NOTICE_S = 9.0
 
@@ -89,6 +96,18 @@
     ended: bool = False
 
 
+@dataclass
+class CrashRequest:
+    """A request that crashes each server that begins to run it.
+
+    ``arrivals_s`` holds when it arrived at servers.
+    """
+
+    path: str
+    once: bool
+    arrivals_s: list = field(default_factory=list)
+
+
 class Soak(PlatformNodes):
     """Four nodes with a separate link between each pair of processes.
 
@@ -117,6 +136,8 @@
         self.expected_exits = set()
         self.tasks = set()
         self.notice_records = []
+        self.crash_requests = {}
+        self.crashing_paths = set()
 
     def make_configuration(self, version):
         """Return a configuration with two routes per service and one for the version.
@@ -166,8 +187,7 @@
     async def open_links(self):
         """Open the links between nodes, to the servers and to the store."""
         for index in range(self.nodes):
-            self.servers[index].delay_s = WORK_S
-            self.servers[index].on_arrival = self._check_arrival
+            self._prepare_server(self.servers[index])
             ip = self.get_ip(index)
             await self._open_link(("store", index), ip, STORE_PORT, self.store.address)
             address = self.servers[index].address
@@ -178,6 +198,29 @@
                     target = f"{ip}:{self.get_inbound_port(index)}"
                     await self._open_link((other, index), ip, port, target)
 
+    def _prepare_server(self, server):
+        server.delay_s = WORK_S
+        server.on_arrival = self._check_arrival
+        server.on_crash = self._handle_crash
+        server.on_restart = self._handle_server_restart
+        server.crashing_paths = self.crashing_paths
+
+    def _handle_crash(self, server):
+        """Let the node's link to a crashed server refuse connections as well."""
+        index = self.servers.index(server)
+        self._record_fault(f"server {server.instance} crashes")
+        self.being_replaced.add(index)
+        self.links["server", index].close()
+        for record in self.notice_records:
+            record.ended |= record.server is server
+
+    async def _handle_server_restart(self, server):
+        index = self.servers.index(server)
+        await self.links["server", index].listen(self.get_ip(index), SERVER_PORT)
+        self.store.delete(f"servers/{server.instance[:-1]}")
+        self.put_entry(index)
+        self.being_replaced.discard(index)
+
     async def _open_link(self, name, host, port, target):
         target_host, _, target_port = target.rpartition(":")
         link = Link((target_host, int(target_port)))
@@ -253,6 +296,9 @@
 
     def _check_arrival(self, server, request_id, now_s):
         """Note a violation if a request that arrives at a server exceeds its notice."""
+        crash_request = self.crash_requests.get(request_id.partition(".")[0])
+        if crash_request is not None:
+            crash_request.arrivals_s.append(now_s)
         for record in self.notice_records:
             if record.server is not server or record.violation or record.ended:
                 continue
@@ -450,14 +496,58 @@
         self.replaced_servers.append(old)
         host, _, port = old.address.rpartition(":")
         server = Server(f"i-{index}-{len(self.replaced_servers)}")
-        server.delay_s = WORK_S
-        server.on_arrival = self._check_arrival
+        self._prepare_server(server)
         self.servers[index] = server
         await asyncio.sleep(self.random.uniform(0.0, 0.5))
         await server.listen(host, int(port))
         self.put_entry(index)
         self.being_replaced.discard(index)
 
+    async def _repeat_crashing_request(self):
+        """Send a request that crashes servers again and again, at any node."""
+        number = len(self.crash_requests)
+        service = self.random.choice(SERVICES)
+        once = self.random.random() < 0.5
+        path = f"/{'once' if once else 'safe'}/{service}/crash/{number}"
+        self._record_fault(f"request {path} crashes servers")
+        self.crash_requests[f"crash-{number}"] = CrashRequest(path, once)
+        self.crashing_paths.add(path)
+        for attempt in range(CRASH_ATTEMPTS):
+            await self._send_crashing(
+                number, attempt, self.random.randrange(self.nodes)
+            )
+            await asyncio.sleep(self.random.expovariate(1 / CRASH_GAP_S))
+
+    async def _send_crashing(self, number, attempt, index):
+        request = self.crash_requests[f"crash-{number}"]
+        request_id = f"crash-{number}.{attempt}-{index}"
+        await self._send(index, request.path, request_id, request.once, True)
+
+    async def _check_crash_requests(self):
+        """Send all of these at each node again; return those that reach servers."""
+        await asyncio.sleep(CRASH_SETTLE_S)
+        began_s = asyncio.get_running_loop().time()
+        checked = [
+            (number, request)
+            for number, request in enumerate(self.crash_requests.values())
+            if len(request.arrivals_s) >= CRASHES
+        ]
+        for attempt in range(LATE_ROUNDS if checked else 0):
+            for number, _ in checked:
+                for index in range(self.nodes):
+                    await self._send_crashing(number, f"late-{attempt}", index)
+            # Servers that have crashed again are back for the next round.
+            await asyncio.sleep(LATE_ROUND_GAP_S)
+        violations = []
+        for _, request in checked:
+            late = sum(at_s > began_s for at_s in request.arrivals_s)
+            if late > MAX_LATE_ARRIVALS:
+                violations.append(
+                    f"{request.path} got to servers {late} times more after "
+                    f"{len(request.arrivals_s) - late}"
+                )
+        return violations
+
     async def _inject_faults(self):
         kinds = (
             (self._break_one_link, 12),
@@ -475,6 +565,7 @@
             (self._replace_server, 1),
             (self._name_limit, 2),
             (self._announce_leaving, 1),
+            (self._repeat_crashing_request, 0.7),
         )
         actions, weights = zip(*kinds)
         end_s = asyncio.get_running_loop().time() + self.duration_s
@@ -509,6 +600,7 @@
         for server in self.servers:
             server.pending_faults.clear()
         violations = await self._check_recovery()
+        violations += await self._check_crash_requests()
         self.stopping = True
         await asyncio.gather(*callers)
         if self.tasks:
