--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 
+from balsamdeal.core.crashes import CRASHES_TARGETS
 from balsamdeal.core.request_events import (
     ANSWERED,
     NOT_RUN,
@@ -45,8 +46,6 @@
 MAX_LATE_RETRY_AFTER_S = 3.0
 # Retry-After of a node that is about to stop: by then callers have switched to others.
 STOPPING_RETRY_AFTER_S = 0.2
-# Reason of a refusal, see ``core.crashes``.
-CRASHES_TARGETS = "request crashes targets"
 # Time left below which a retry is not worth sending.
 MIN_RETRY_TIME_S = 0.05
 # Share of the retries allowed by operators that this node uses at most. Every node
--- a/balsamdeal/core/crashes.py
+++ b/balsamdeal/core/crashes.py
@@ -26,6 +26,8 @@
 MAX_REPORTS = 500
 MAX_RUNS = 128
 MAX_GOOD_RUNS = 4096
+# Reason of a refusal.
+CRASHES_TARGETS = "request crashes targets"
 # Nodes tell each other of each crash for this long, and after that only of requests
 # that were in more than one.
 RECENT_S = 10.0
--- a/balsamdeal/core/target_work.py
+++ b/balsamdeal/core/target_work.py
@@ -7,7 +7,7 @@
 import math
 from dataclasses import replace
 
-from balsamdeal.core.crashes import CrashReport, LostRun
+from balsamdeal.core.crashes import CRASHES_TARGETS, CrashReport, LostRun
 from balsamdeal.core.link_queue import LinkQueue
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S, RateLimit
 from balsamdeal.core.request_events import (
@@ -76,9 +76,10 @@
     ):
         self.crash_news = crash_news
         self.crashes = crash_news.table
-        # Suspects that wait for others, by work id, with when they came.
+        # The ``WorkReceived`` of suspects that wait for others to end, by work id.
         self.held = {}
-        # Runs whose connection the target has closed, until it has been checked.
+        # Runs whose connection the target has closed, until it has been checked: pairs
+        # of ``WorkItem`` and ``TargetFailed`` by work id.
         self._lost = {}
         # The reports of runs that a crash has ended but whose failure is still due.
         self._reported = {}
@@ -179,12 +180,13 @@
         return news + self._admit(event)
 
     def _admit(self, event):
+        """Start or queue work, or refuse or hold it because of crashes."""
         quarantine_s = self.crashes.find_quarantine_s(event.digest, event.now_s)
         if quarantine_s:
             return self._refuse(
                 event,
                 event.now_s,
-                "request crashes targets",
+                CRASHES_TARGETS,
                 quarantine_s,
                 crash_reports=self.crashes.list_evidence(event.digest),
             )
