--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -116,8 +116,10 @@
     output, mark, last = done.stdout.rpartition(RESULT_MARK)
     if not mark:
         return set(), {name}, done.stdout
-    outcome = json.loads(last)
-    return set(outcome["passed"]), set(outcome["failed"]), output
+    # Python may write more lines behind the result while the process exits.
+    result, _, rest = last.partition("\n")
+    outcome = json.loads(result)
+    return set(outcome["passed"]), set(outcome["failed"]), output + rest
 
 
 def run_all(group_names):
