--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""A planned stop while an answer is on its way to a requester over a narrow link.
+"""A drill of the store, and servers that leave once it is over.
 
-A node gets SIGTERM. A requester on its machine sends a request a moment later, before
-the platform has taken the node out. The server answers in time, and the link would have
-carried the answer long before ``grace-s``. The answer must arrive whole.
+Two servers are added. Some seconds later the store is away for a moment and comes back
+from a copy that is older than they are; they write their entries again. Well after that
+they are taken away: one reports that it is draining, the entry of the other is removed.
+Both go on serving for a while. No request may reach them later than ``drain-s``.
 """
 
 import asyncio
@@ -10,7 +11,7 @@
 import random
 import signal
 import sys
-import time
+from collections import Counter
 from pathlib import Path
 
 from review.stand.deployment import run_case
@@ -18,115 +19,171 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "ficu95.example"
-SERVICE = "rozvrh"
-PLAN = [("hala-neredin", SERVICE), ("hala-hodolany", SERVICE)]
-GRACE_S = 6.0
-# Sent this long after SIGTERM; requesters use the node until two probes have failed.
-SENT_AFTER_S = (0.2, 0.4, 0.6, 0.8, 1.0)
-WORK_S = 2.2
-DEADLINE_S = 5.0
-ANSWER_BYTES = 3_000_000
-# A link of 16 Mbit/s, with Ethernet segments: the grown deployments have 2.5 to 50.
-LINK_BYTES_PER_S = 16e6 / 8
-WINDOW_BYTES = 16_384
-SEGMENT_BYTES = 1400
-ROUNDS = 3
+SERVICE = "counter-desk"
+PLAN = [(zone, SERVICE) for zone in ("duluth-hall", "toledo-hall") for _ in range(4)]
+# The last machine of each zone is added.
+ADDED = (3, 7)
+WORK_S = 0.2
+REQUESTS_PER_S = 10.0  # at each machine
+# From the start of the added servers to the drill, and how old the copy is.
+ADDED_BEFORE_S, COPY_AGE_S = 6.0, 8.0
+AWAY_S = 1.0
+# The store has to be without disturbance for stable-window-s, 3 s, before the servers
+# leave.
+CALM_S = 3.5
+DRAIN_S = 2.0
+# How long a leaving server goes on serving: drain-s and a little longer.
+SERVES_ON_S = 5.0
 
 
 def make_routes():
-    """Return the route of the weekly timetable."""
+    """Return a route of each kind."""
+    common = {"host": HOST, "priority": 1, "service": SERVICE, "max-attempts": 2}
     return [
         {
-            "name": "timetable-pull",
-            "host": HOST,
-            "path-prefix": "/timetable/",
+            "name": "ticket-status",
+            "path-prefix": "/tickets/",
             "kind": "safe",
-            "timeout-s": 5,
-            "target-latency-s": 0.8,
-            "priority": 2,
-            "max-attempts": 2,
-            "service": SERVICE,
-        }
+            "timeout-s": 1.5,
+            "target-latency-s": 0.5,
+            **common,
+        },
+        {
+            "name": "repair-charge",
+            "path-prefix": "/charges/",
+            "kind": "unsafe",
+            "timeout-s": 2,
+            "target-latency-s": 0.6,
+            **common,
+        },
     ]
 
 
-def make_body(path):
-    """Return the body of the answer to a path."""
-    return (path.encode() + b" " * 64)[:64] * (ANSWER_BYTES // 64)
-
-
-async def probe(deployment, machine):
-    """Probe a node once a second, as the platform does, and record the results."""
-    while True:
-        ready = await deployment.is_ready(machine)
-        deployment.record("probe of", machine.name, "ready" if ready else "missed")
-        await asyncio.sleep(1.0)
-
-
-async def request(deployment, machine, after_s):
-    """Send one request; return its ``Result``."""
-    await asyncio.sleep(after_s)
-    request_id = f"{random.randrange(16**16):016x}"
+async def request_often(deployment, machine, results):
+    """Send requests from a machine, one at a time and in between, until cancelled."""
+    number = 0
+    tasks = set()
     address = (machine.ip, deployment.ports["outbound"])
-    result = await send(
-        address,
-        "GET",
-        HOST,
-        f"/timetable/{request_id}",
-        request_id,
-        DEADLINE_S,
-        bytes_per_s=LINK_BYTES_PER_S,
-        receive_bytes=WINDOW_BYTES,
-        segment_bytes=SEGMENT_BYTES,
-    )
-    deployment.record(
-        f"request {request_id} sent {after_s} s after the stop:",
-        f"status {result.status}, {result.received} of {result.expected} bytes,",
-        f"whole {result.whole}, {result.error or 'no error'},",
-        f"took {result.ended_s - result.sent_s:.2f} s",
-    )
-    return result
-
-
-async def stop_and_start(deployment, machine):
-    """Stop a node as planned work does, and start it again."""
-    begun_s = time.monotonic()
-    deployment.record("SIGTERM to", machine.name)
+    while True:
+        number += 1
+        unsafe = number % 3 == 0
+        path = f"/charges/{number}" if unsafe else f"/tickets/{number}"
+        request_id = f"{random.randrange(16**16):016x}"
+
+        async def run(path=path, request_id=request_id, unsafe=unsafe):
+            method = "POST" if unsafe else "GET"
+            results.append(await send(address, method, HOST, path, request_id, 3.0))
+
+        task = asyncio.ensure_future(run())
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
+
+
+def begin_load(deployment, machines, results, load):
+    """Begin to send requests from some machines; add the tasks to ``load``."""
+    for machine in machines:
+        task = asyncio.ensure_future(request_often(deployment, machine, results))
+        load.append(task)
+
+
+async def leave(deployment, machine, drains):
+    """Let a server leave; return when that was acknowledged, and when it exits."""
+    now = asyncio.get_running_loop().time
+    if drains:
+        machine.state = "draining"
+        revision = deployment.put_entry(machine)
+        what = "reports draining"
+    else:
+        machine.listed = False
+        revision = deployment.store.delete(f"servers/{machine.server.instance}")
+        what = "has its entry removed"
+    acknowledged_s = now()
+    machine.server.leaving = True
+    deployment.record(machine.server.instance, what, f"at revision {revision}")
+    await asyncio.sleep(SERVES_ON_S)
+    exited_s = now()
+    machine.server.exit()
     machine.process.send_signal(signal.SIGTERM)
-    while machine.process.poll() is None:
-        if time.monotonic() - begun_s > GRACE_S:
-            machine.process.kill()
-            deployment.record("SIGKILL to", machine.name)
-        await asyncio.sleep(0.01)
+    if machine.listed:
+        machine.listed = False
+        deployment.store.delete(f"servers/{machine.server.instance}")
+    deployment.record(machine.server.instance, "exits")
+    return acknowledged_s, exited_s
+
+
+async def drill(deployment):
+    """Take the store away for a moment and bring it back from a copy."""
+    store = deployment.store
+    before = store.revision
+    deployment.store_is_up = False
+    store.go_away()
+    deployment.record(f"the store goes away at revision {before}")
+    for index in ADDED:
+        key = f"servers/{deployment.machines[index].server.instance}"
+        deployment.record(f"entry of {key} has revision {store.items[key]['revision']}")
+    await asyncio.sleep(AWAY_S)
+    age_s = store.restore(COPY_AGE_S)
+    await store.listen()
+    deployment.store_is_up = True
     deployment.record(
-        f"{machine.name} ended {time.monotonic() - begun_s:.2f} s after SIGTERM,",
-        f"code {machine.process.returncode}",
+        f"the store is back from a copy {age_s:.1f} s old: revision {store.revision},",
+        f"Store-Era {store.era}",
     )
 
 
 async def play(deployment):
     """Play the case; return whether the rule was broken."""
     deployment.put_configuration(7, make_routes(), [SERVICE])
-    await deployment.start()
-    machine = deployment.machines[0]
-    probes = asyncio.ensure_future(probe(deployment, machine))
-    await asyncio.sleep(3.5)
-    cut = 0
-    for _ in range(ROUNDS):
-        requests = [request(deployment, machine, after_s) for after_s in SENT_AFTER_S]
-        tasks = [asyncio.ensure_future(item) for item in requests]
-        if TROUBLE:
-            await stop_and_start(deployment, machine)
-        results = await asyncio.gather(*tasks)
-        cut += sum(not (item.whole and item.sealed) for item in results)
-        if TROUBLE:
-            deployment.start_node(machine)
-            while not await deployment.is_ready(machine):
-                await asyncio.sleep(0.1)
-            await asyncio.sleep(3.5)
-    probes.cancel()
-    deployment.record(f"{cut} answers of {ROUNDS * len(SENT_AFTER_S)} were not whole")
-    return cut > 0
+    machines = deployment.machines
+    added = [machines[index] for index in ADDED]
+    old = [item for item in machines if item not in added]
+    await deployment.start(old)
+    results, load = [], []
+    begin_load(deployment, old, results, load)
+    await asyncio.sleep(COPY_AGE_S)
+    await deployment.start_machines(added)
+    begin_load(deployment, added, results, load)
+    await asyncio.sleep(ADDED_BEFORE_S)
+    if TROUBLE:
+        await drill(deployment)
+    await asyncio.sleep(CALM_S)
+    drained, removed = added
+    for machine in added:
+        item = deployment.store.items[f"servers/{machine.server.instance}"]
+        deployment.record(f"entry of {item['key']} has revision {item['revision']}")
+    times = await asyncio.gather(
+        leave(deployment, drained, True), leave(deployment, removed, False)
+    )
+    await asyncio.sleep(1.0)
+    for task in load:
+        task.cancel()
+    await asyncio.sleep(2.0)
+    statuses = {item.request_id: item.status for item in results}
+    counts = sorted(Counter(map(str, statuses.values())).items())
+    deployment.record("answers by status:", dict(counts))
+    broken = False
+    for machine, (acknowledged_s, _) in zip((drained, removed), times):
+        late = 0
+        for at_s, request_id, method, path in machine.server.arrivals:
+            after_s = at_s - acknowledged_s
+            if after_s <= DRAIN_S:
+                continue
+            late += 1
+            deployment.record(
+                f"late: {method} {path} {request_id} reaches",
+                f"{machine.server.instance} {after_s:.2f} s after its leaving;",
+                f"run {machine.server.ended.get(request_id, 'unfinished')},",
+                f"answered {statuses.get(request_id)}",
+            )
+        deployment.record(machine.server.instance, "gets", late, "requests too late")
+        broken |= late > 0
+    return broken
+
+
+def make_body(path):
+    """Return the body of the answer to a path."""
+    return f"ticket {path} ".encode() * 100
 
 
 if __name__ == "__main__":
--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -22,6 +22,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HEARTBEAT_S = 1.5
+# A server that has just started is slow for this long.
+COLD_S = 3.0
 LINK = ("outbound", "inbound", "ready-address", "application", "store")
 METRICS_PORT = 9102
 
@@ -48,10 +50,11 @@
         self.zone = zone
         self.server = server
         self.process = None
+        self.is_started = False
         self.state = "ready"
         self.listed = True
         self.sequence = 0
-        self.born = round(time.time() * 1000)
+        self.born = 0
 
 
 class Deployment:
@@ -205,9 +208,13 @@
         return status == [b"200"]
 
     def put_entry(self, machine):
-        """Write a server's entry, as a heartbeat does; return the revision."""
+        """Write a server's entry, as a heartbeat does; return the store's revision.
+
+        The entry changes only when more than ``sequence`` does.
+        """
         machine.sequence += 1
         server = machine.server
+        age_s = time.time() - machine.born / 1000
         content = {
             "service": server.service,
             "address": f"{server.host}:{server.port}",
@@ -215,18 +222,21 @@
             "version": "v1",
             "slots": server.slots,
             "state": machine.state,
-            "cold-remaining-s": 0,
+            "cold-remaining-s": round(max(0.0, COLD_S - age_s), 1),
             "sequence": machine.sequence,
             "born": machine.born,
         }
-        return self.store.put(f"servers/{server.instance}", content)
+        key = f"servers/{server.instance}"
+        known = self.store.read(key)
+        if known is not None and {**known, "sequence": machine.sequence} == content:
+            return self.store.revision
+        return self.store.put(key, content)
 
     async def _beat(self, machine):
-        await asyncio.sleep(random.random() * HEARTBEAT_S)
         while machine.listed:
             if self.store_is_up:
                 self.put_entry(machine)
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(HEARTBEAT_S * random.uniform(0.9, 1.1))
 
     async def _copy_store(self):
         while True:
@@ -256,31 +266,35 @@
         }
         return self.store.put("op/config", content)
 
-    async def start(self):
-        """Start everything; return when all nodes are ready."""
+    async def start(self, machines=None):
+        """Start the store and the machines, all by default, until they are ready."""
         await self.store.listen()
-        for machine in self.machines:
+        self._tasks.append(asyncio.ensure_future(self._copy_store()))
+        await self.start_machines(machines or self.machines)
+
+    async def start_machines(self, machines):
+        """Start machines, each with its server and its node, until they are ready."""
+        for machine in machines:
+            machine.born = round(time.time() * 1000)
             await machine.server.listen()
-            self.put_entry(machine)
+            machine.is_started = True
             self._tasks.append(asyncio.ensure_future(self._beat(machine)))
-        self._tasks.append(asyncio.ensure_future(self._copy_store()))
-        for machine in self.machines:
             self.start_node(machine)
         deadline_s = time.monotonic() + 30.0
-        waiting = list(self.machines)
+        waiting = list(machines)
         while waiting:
             if time.monotonic() > deadline_s:
                 raise CaseError(f"not ready: {[item.name for item in waiting]}")
             waiting = [item for item in waiting if not await self.is_ready(item)]
             await asyncio.sleep(0.1)
-        self.record("all nodes are ready")
+        self.record("ready:", *(machine.name for machine in machines))
 
     async def stop_stand_ins(self):
         """Stop the heartbeats, the servers and the store."""
         for task in self._tasks:
             task.cancel()
         for machine in self.machines:
-            if not machine.server.gone:
+            if machine.is_started and not machine.server.gone:
                 machine.server.exit()
         self.store.go_away()
         await asyncio.sleep(0.2)
--- a/review/stand/store.py
+++ b/review/stand/store.py
@@ -79,6 +79,12 @@
         self._add_event(item)
         return self.revision
 
+    def read(self, key):
+        """Return the object that a value holds, or None without one."""
+        if key not in self.items:
+            return None
+        return json.loads(base64.b64decode(self.items[key]["value"]))
+
     def delete(self, key):
         """Remove a key; return the revision."""
         if self.items.pop(key, None) is not None:
