--- a/review/2/case.py
+++ b/review/2/case.py
@@ -160,6 +160,7 @@
         task.cancel()
     await asyncio.sleep(2.0)
     statuses = {item.request_id: item.status for item in results}
+    deployment.record_requests(results)
     counts = sorted(Counter(map(str, statuses.values())).items())
     deployment.record("answers by status:", dict(counts))
     broken = False
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -91,6 +91,7 @@
     for task in load:
         task.cancel()
     await asyncio.sleep(2.0)
+    deployment.record_requests(results)
     counts = sorted(Counter(str(item.status) for item in results).items())
     deployment.record("answers by status:", dict(counts))
     runs, wrong = Counter(), 0
--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -105,6 +106,30 @@
         at_s = time.monotonic() - self.begun_s
         print(f"{at_s:8.3f}", *words, file=self.record_file, flush=True)
 
+    def record_requests(self, results):
+        """Record each request: when and what was sent, run and answered.
+
+        :param results: the ``Result`` objects of the requesters.
+        """
+        runs = {}
+        for machine in self.machines:
+            server = machine.server
+            for at_s, request_id, _, _ in server.arrivals:
+                end = server.ended.get(request_id, "unfinished")
+                run = f"run at {at_s - self.begun_s:.3f} by {server.instance}"
+                text = f"{run} ({server.service}), {end}"
+                runs.setdefault(request_id, []).append(text)
+        for result in sorted(results, key=lambda item: item.sent_s):
+            body = f"{result.received} of {result.expected} bytes"
+            ended = f"at {result.ended_s - self.begun_s:.3f}"
+            print(
+                f"{result.sent_s - self.begun_s:8.3f} sent {result.method}",
+                f"{result.path} {result.request_id};",
+                "; ".join(runs.get(result.request_id, ["not run"])) + ";",
+                f"answered {result.status or result.error} {ended}, {body}",
+                file=self.record_file,
+            )
+
     # The platform
 
     def write_settings(self, machine):
@@ -327,6 +352,8 @@
             await deployment.stop_stand_ins()
 
     deployment = None
+    # The nodes are ended also when the case takes too long.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         deployment = Deployment(folder, plan, work_s, make_body, memory_mb)
         broken = asyncio.run(run(deployment))
--- a/review/stand/requester.py
+++ b/review/stand/requester.py
@@ -16,6 +16,8 @@
     """
 
     request_id: str
+    method: str
+    path: str
     sent_s: float
     status: int | None = None
     whole: bool = False
@@ -54,7 +56,7 @@
 
     :param bytes_per_s: how fast the link takes the answer; None for at once.
     """
-    result = Result(request_id, time.monotonic())
+    result = Result(request_id, method, path, time.monotonic())
     writer = None
     try:
         async with asyncio.timeout(deadline_s + 1.0):
@@ -110,7 +112,7 @@
 
     The answer is read at once.
     """
-    result = Result(request_id, time.monotonic())
+    result = Result(request_id, method, path, time.monotonic())
     reader, writer = connection
     lines = [
         f"{method} {path} HTTP/1.1",
