--- a/review/stand/deployment.py
+++ b/review/stand/deployment.py
@@ -65,16 +65,16 @@
     :param plan: pairs of zone and service, one for each machine.
     :param work_s: see ``Server``.
     :param make_body: see ``Server``.
-    :param memory_mb: the memory that the settings name.
+    :param link_mbps: the bandwidth of the machines' links that the settings name.
     """
 
     grace_s = 6
 
-    def __init__(self, folder, plan, work_s, make_body, memory_mb=300):
+    def __init__(self, folder, plan, work_s, make_body, link_mbps=1000.0):
         self.begun_s = time.monotonic()
         self.record_file = open(Path(folder) / "record.txt", "w")
         self.temporary = tempfile.TemporaryDirectory()
-        self.memory_mb = memory_mb
+        self.link_mbps = link_mbps
         self.store_is_up = True
         self._choose_network(len(plan))
         self.store = Store(f"{self.network}.200", self.ports["store"])
@@ -156,9 +156,9 @@
             "limits": {
                 "cpu-share": 0.86,
                 "cores": 1,
-                "memory-mb": self.memory_mb,
+                "memory-mb": 300,
                 "max-fds": 4100,
-                "link-mbps": 1000.0,
+                "link-mbps": self.link_mbps,
                 "disk-mb": 0,
             },
             "data-dir": None,
@@ -338,7 +338,7 @@
         self.record_file.close()
 
 
-def run_case(play, folder, plan, work_s, make_body, memory_mb=300):
+def run_case(play, folder, plan, work_s, make_body, link_mbps=1000.0):
     """Run a case; return the exit code.
 
     :param play: a coroutine function of the ``Deployment``, which returns whether the
@@ -355,7 +355,7 @@
     # The nodes are ended also when the case takes too long.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        deployment = Deployment(folder, plan, work_s, make_body, memory_mb)
+        deployment = Deployment(folder, plan, work_s, make_body, link_mbps)
         broken = asyncio.run(run(deployment))
         deployment.record("the rule was broken" if broken else "the rule held")
         return 1 if broken else 0
