Order what the source publishes by era before revision

Cause: the list of targets took revisions as growing for ever. Entries that were written again after the drill, and their leaving, had lower revisions than those known and were dropped as stale. Nothing read Store-Era.

Ruled out: a list that was not read again, a lost watch.

The same cause elsewhere: a version at a revision given out again was skipped for good; a watch whose start revision was given out again missed what lay before it; a list could mix pages of two eras; a late answer of the earlier era was taken.

Why it works: positions are compared by era first, so what is written after the drill is newer than all before it, and an answer of an earlier era is refused.

--- a/balsamdeal/net/feed.py
+++ b/balsamdeal/net/feed.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from balsamdeal.core.membership import REFUSED
+from balsamdeal.core.revisions import NO_REVISION, Revision
 from balsamdeal.errors import HistoryLostError, SourceError
 
 logger = logging.getLogger(__name__)
@@ -56,12 +57,12 @@
 
     ``entries`` is the whole list as pairs of name and ``Target`` or None; it is None in
     the answer to a watch, which has ``changes``: triples of name, ``Target`` or None,
-    and revision. The next watch begins after ``revision``.
+    and ``Revision``. The next watch begins after ``revision``.
     """
 
     entries: list | None
     changes: list
-    revision: int
+    revision: Revision
 
 
 class TargetFeed:
@@ -78,7 +79,7 @@
         self._reader = reader
         self._random = Random(seed)
         self._task = None
-        self._expiry_timer = None
+        self._grace_timer = None
 
     def start(self):
         """Start to read and watch the list."""
@@ -116,7 +117,8 @@
             except HistoryLostError as error:
                 logger.info("source lost its history", extra={"reason": str(error)})
                 revision = None
-                await asyncio.sleep(RETRY_BASE_S)
+                # With jitter: all nodes may lose the history at the same moment.
+                await asyncio.sleep(self._draw_backoff_s(1))
                 continue
             except SourceError as error:
                 failures += 1
@@ -143,23 +145,45 @@
         """Apply an answer of the source; return whether any target changed."""
         targets = self._shell.proxy.targets
         now_s = self._shell.loop.time()
+        before = targets.revision
         if update.entries is not None:
             changed = targets.apply_listing(
                 update.entries, update.revision, after_outage, now_s
             )
         else:
             changed = targets.apply_changes(update.changes, update.revision, now_s)
+        if before != NO_REVISION and targets.revision.era != before.era:
+            self._report_era(before)
         if changed or update.entries is not None:
             self._report_targets(changed)
-        if targets.missing and self._expiry_timer is None:
-            at_s = max(targets.missing.values())
-            self._expiry_timer = self._shell.loop.call_at(at_s + 0.01, self._expire)
+        self._set_grace_timer()
         return changed
 
-    def _expire(self):
-        self._expiry_timer = None
+    def _set_grace_timer(self):
+        at_s = self._shell.proxy.targets.get_next_grace_end_s()
+        if at_s is not None and self._grace_timer is None:
+            self._grace_timer = self._shell.loop.call_at(at_s + 0.01, self._end_grace)
+
+    def _end_grace(self):
+        self._grace_timer = None
+        targets = self._shell.proxy.targets
+        self._report_targets(targets.end_grace(self._shell.loop.time()))
+        self._set_grace_timer()
+
+    def _report_era(self, before):
+        """Count and log that the source has come back from an older copy."""
         targets = self._shell.proxy.targets
-        self._report_targets(targets.expire_missing(self._shell.loop.time()))
+        self._shell.metrics.count("source_eras")
+        fields = {
+            "era": targets.revision.era,
+            "revision": targets.revision.number,
+            "before_era": before.era,
+            "before_revision": before.number,
+            "kept": len(targets.targets) - len(targets.missing),
+            "awaited": sorted(targets.missing),
+            "withheld": sorted(targets.withheld),
+        }
+        logger.warning("source came back from an older copy", extra=fields)
 
     def _report_targets(self, changed):
         proxy = self._shell.proxy
@@ -167,7 +191,8 @@
         if changed:
             targets = proxy.targets.targets.values()
             fields = {
-                "revision": proxy.targets.revision,
+                "era": proxy.targets.revision.era,
+                "revision": proxy.targets.revision.number,
                 "targets": len(targets),
                 "leaving": [item.instance for item in targets if item.leaving],
                 "missing": sorted(proxy.targets.missing),
--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -19,6 +19,7 @@
     model_validator,
 )
 
+from balsamdeal.core.revisions import Revision
 from balsamdeal.core.routes import Backend, Configuration, HostRoute, Limits
 from balsamdeal.core.targets import Target
 from balsamdeal.errors import ContentError
@@ -162,7 +163,10 @@
 
 
 class ItemMessage(Message):
-    """An item of the store; ``deleted`` is set in the event of its removal."""
+    """An item of the store; ``deleted`` is set in the event of its removal.
+
+    ``revision`` orders items only among answers of one era.
+    """
 
     key: str
     revision: int
@@ -265,12 +269,13 @@
         raise ContentError("not base64", "decode", item.key) from error
 
 
-def decode_target(item, prefix, node_port):
+def decode_target(item, prefix, node_port, era):
     """Return the ``Target`` described by a server's entry.
 
     :param item: the ``ItemMessage``.
     :param prefix: the prefix of the entries' keys; the instance id follows it.
     :param node_port: the port on which nodes serve other nodes, equal on all VMs.
+    :param era: the store's era in the answer that held the item.
     :raises ContentError: when the entry is not a valid ``ServerMessage``.
     """
     try:
@@ -287,5 +292,5 @@
         message.zone,
         message.slots,
         message.state == "draining",
-        item.revision,
+        Revision(era, item.revision),
     )
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -1,13 +1,19 @@
-"""Client of the platform's store: reads a key, lists a prefix, watches for changes."""
+"""Client of the platform's store: reads a key, lists a prefix, watches for changes.
+
+The store may come back from an older copy of itself. Each answer tells how often that
+has happened, its era; revisions of different eras are ordered by era first.
+"""
 
 import json
 import logging
 import time
+from dataclasses import dataclass
 from urllib.parse import urlencode
 
 from pydantic import ValidationError
 from tornado.httputil import HTTPHeaders
 
+from balsamdeal.core.revisions import NO_REVISION, Revision
 from balsamdeal.errors import (
     ContentError,
     ExchangeError,
@@ -30,6 +36,9 @@
 OPERATOR_PREFIX = "op/"
 SERVERS_PREFIX = "servers/"
 HTTP_GONE = 410
+ERA_HEADER = "Store-Era"
+# An era of more digits is no count of events.
+MAX_ERA_DIGITS = 9
 # Timeout of calls that do not wait for a change. The store usually answers within
 # milliseconds; slow answers of up to a second are still useful.
 READ_TIMEOUT_S = 2.0
@@ -44,6 +53,14 @@
 LARGE_RESPONSE_BYTES = 65_536
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """An answer of the store: its JSON object, or None for status 404, and its era."""
+
+    body: dict | None
+    era: int
+
+
 class StoreReader:
     """Reads configurations and targets, with a separate watch for each.
 
@@ -56,6 +73,7 @@
         self._reported_bad = {}
         self._rejection = None
         self._unknown_words = ()
+        self._era = 0
         self._watch_revision = None
         self._last_revision = None
         self._last_version = 0
@@ -88,7 +106,8 @@
             is_current = after == self._last_version and not self._needs_read
             if not (wait_s and is_current):
                 found = await self._read_newest(after)
-                if found is not None or not wait_s:
+                may_watch = wait_s and self._watch_revision is not None
+                if found is not None or not may_watch:
                     return self._make_update(found, after)
             return self._make_update(
                 await self._watch_configuration(after, wait_s), after
@@ -110,9 +129,9 @@
         )
 
     async def _get_configuration(self, call, query, timeout_s):
-        """Return the JSON object in a response, or None, and whether it is the latest.
+        """Return the ``StoreAnswer``, and whether it is the latest.
 
-        It is not if a response to a later call has been processed.
+        It is not if an answer to a later call has been processed.
         """
         self._call_count += 1
         number = self._call_count
@@ -121,28 +140,29 @@
         self._open_calls.add(number)
         timeout_s += TRANSFER_FACTOR * self._transfer_s
         try:
-            body = await self._get(call, query, timeout_s, new_connection=has_open)
+            answer = await self._get(call, query, timeout_s, new_connection=has_open)
         finally:
             self._open_calls.discard(number)
         is_latest = number > self._last_call
         self._last_call = max(number, self._last_call)
-        return body, is_latest
+        return answer, is_latest
 
     async def _read_newest(self, after):
-        body, is_latest = await self._get_configuration(
+        answer, is_latest = await self._get_configuration(
             "kv-key", {"key": CONFIGURATION_KEY}, READ_TIMEOUT_S
         )
-        if body is None:
+        if answer.body is None:
             return None
-        revision = self._get_revision(body)
-        item = self._parse_item(body)
+        revision = self._get_revision(answer)
+        item = self._parse_item(answer.body)
         return self._process_item(item, revision, after, is_latest)
 
     async def _watch_configuration(self, after, wait_s):
-        query = self._make_watch_query(OPERATOR_PREFIX, self._watch_revision, wait_s)
+        began = self._watch_revision
+        query = self._make_watch_query(OPERATOR_PREFIX, began, wait_s)
         timeout_s = wait_s + CONFIGURATION_WATCH_MARGIN_S
-        body, is_latest = await self._get_configuration("kv-watch", query, timeout_s)
-        items, revision = self._parse_events(body)
+        answer, is_latest = await self._get_configuration("kv-watch", query, timeout_s)
+        items, revision = self._parse_events(answer, began)
         candidates = [
             item for item in items if item.key == CONFIGURATION_KEY and not item.deleted
         ]
@@ -156,20 +176,21 @@
         configuration makes the next call read the key, except after the first item.
 
         :param item: the item, or None.
-        :param revision: the store's revision; the next watch begins after it.
+        :param revision: the store's ``Revision``; the next watch begins after it.
         :param is_latest: whether no answer to a later call has been processed. An
             answer that was overtaken by one as new changes nothing.
         """
-        known = self._last_revision or 0
-        if not is_latest and (item is None or item.revision <= known):
+        known = self._last_revision or NO_REVISION
+        item_revision = item and Revision(revision.era, item.revision)
+        if not is_latest and (item is None or item_revision <= known):
             return None
         is_first = self._last_revision is None
         self._needs_read = False
         if is_latest:
             self._watch_revision = revision
-        if item is None or item.revision == self._last_revision:
+        if item is None or item_revision == self._last_revision:
             return None
-        self._last_revision = item.revision
+        self._last_revision = item_revision
         link_mbps = self._shell.settings.link_mbps
         if link_mbps:
             self._transfer_s = len(item.value) * 8 / (link_mbps * 1e6)
@@ -196,8 +217,9 @@
         query = {"path-prefix": SERVERS_PREFIX}
         while True:
             started_s = time.monotonic()
-            body = await self._get("kv-range", query)
+            answer = await self._get("kv-range", query)
             self._target_delay_s = time.monotonic() - started_s
+            body = answer.body
             if body is None:
                 raise SourceError(
                     "list call answered with status 404", "answer", self._address
@@ -205,11 +227,12 @@
             if revision is None:
                 # Pages are not a consistent snapshot: the watch that follows starts at
                 # the revision of the first page, to return what changed meanwhile.
-                revision = self._get_revision(body)
+                revision = self._get_revision(answer)
+            self._check_era(answer, revision)
             items = [self._parse_item(item) for item in body.get("items", ())]
             items = [item for item in items if item is not None]
             for item in items:
-                entries[item.key] = self._decode_target(item)
+                entries[item.key] = self._decode_target(item, revision.era)
             if not body.get("has-more") or not items:
                 return list(entries.items()), revision
             query["after"] = items[-1].key
@@ -217,41 +240,61 @@
     async def watch_targets(self, after, wait_s):
         """Return ``TargetUpdate`` with the changes since a revision.
 
-        :param after: the revision.
+        :param after: the ``Revision``.
         :param wait_s: how long the store may wait for a change, in seconds.
-        :raises HistoryLostError: when the store no longer has these changes.
+        :raises HistoryLostError: when the store no longer has these changes, or has
+            come back from an older copy.
         :raises SourceError: when the store cannot be read.
         """
         query = self._make_watch_query(SERVERS_PREFIX, after, wait_s)
         margin_s = WATCH_MARGIN_S + self._target_delay_s
         started_s = time.monotonic()
-        body = await self._get("kv-watch", query, wait_s + margin_s)
-        items, revision = self._parse_events(body)
+        answer = await self._get("kv-watch", query, wait_s + margin_s)
+        items, revision = self._parse_events(answer, after)
         if not items:
             self._target_delay_s = max(0.0, time.monotonic() - started_s - wait_s)
         changes = []
         for item in items:
-            target = None if item.deleted else self._decode_target(item)
-            changes.append((item.key, target, item.revision))
+            target = None if item.deleted else self._decode_target(item, revision.era)
+            changes.append((item.key, target, Revision(revision.era, item.revision)))
         return TargetUpdate(None, changes, revision)
 
     @staticmethod
     def _make_watch_query(prefix, after, wait_s):
-        return {"path-prefix": prefix, "after": after, "wait-ms": int(wait_s * 1000)}
+        wait_ms = int(wait_s * 1000)
+        return {"path-prefix": prefix, "after": after.number, "wait-ms": wait_ms}
 
-    def _parse_events(self, body):
-        """Return the items in the answer to a watch, and the store's revision."""
-        if body is None:
+    def _parse_events(self, answer, began):
+        """Return the items in the answer to a watch, and the store's ``Revision``.
+
+        :param began: the ``Revision`` after which the watch began.
+        :raises HistoryLostError: when the store has come back from an older copy.
+        """
+        if answer.body is None:
             raise SourceError("watch answered with status 404", "answer", self._address)
-        items = [self._parse_item(item) for item in body.get("events", ())]
-        return [item for item in items if item is not None], self._get_revision(body)
+        self._check_era(answer, began)
+        items = [self._parse_item(item) for item in answer.body.get("events", ())]
+        return [item for item in items if item is not None], self._get_revision(answer)
+
+    def _check_era(self, answer, began):
+        """Raise an error if the store has come back from an older copy.
+
+        Changes between that copy and the revision at which the call began are missing
+        in its answer.
+        """
+        if answer.era != began.era:
+            reason = f"the store has come back from a copy, era {answer.era}"
+            raise HistoryLostError(reason, "answer", self._address)
 
     @property
     def _address(self):
         return self._shell.settings.source_address
 
     async def _get(self, call, query, timeout_s=READ_TIMEOUT_S, new_connection=False):
-        """Return the JSON object in a response, or None for status 404."""
+        """Return the ``StoreAnswer``.
+
+        :raises SourceError: also for an answer of an earlier era than the latest known.
+        """
         started_s = time.monotonic()
         try:
             response = await self._pool.fetch(
@@ -270,8 +313,9 @@
             elapsed_ms = round((time.monotonic() - started_s) * 1000)
             fields = {"call": call, "bytes": response.size, "ms": elapsed_ms}
             logger.info("large answer of the source", extra=fields)
+        era = self._read_era(response)
         if response.status == 404:
-            return None
+            return StoreAnswer(None, era)
         if response.status == HTTP_GONE:
             raise HistoryLostError(
                 "changes since this revision are no longer kept", call, self._address
@@ -284,13 +328,30 @@
             raise SourceError("not JSON", "answer", self._address) from error
         if not isinstance(body, dict):
             raise SourceError("not an object", "answer", self._address)
-        return body
-
-    def _get_revision(self, body):
-        revision = body.get("current-rev")
-        if not isinstance(revision, int):
+        return StoreAnswer(body, era)
+
+    def _read_era(self, response):
+        """Return the era of an answer; the latest known if the answer names none."""
+        text = response.headers.get(ERA_HEADER)
+        if text is None:
+            return self._era
+        if not (text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS):
+            raise SourceError(f"era {text[:20]!r}", "answer", self._address)
+        era = int(text)
+        if era < self._era:
+            reason = f"answer of era {era} after one of era {self._era}"
+            raise SourceError(reason, "answer", self._address)
+        if era > self._era:
+            fields = {"era": era, "before_era": self._era}
+            logger.info("era of the source", extra=fields)
+        self._era = era
+        return era
+
+    def _get_revision(self, answer):
+        number = answer.body.get("current-rev")
+        if not isinstance(number, int):
             raise SourceError("no revision", "answer", self._address)
-        return revision
+        return Revision(answer.era, number)
 
     def _parse_item(self, content):
         try:
@@ -329,10 +390,10 @@
             logger.warning("configuration has unknown words", extra=fields)
         self._unknown_words = words
 
-    def _decode_target(self, item):
+    def _decode_target(self, item, era):
         port = self._shell.settings.node_address.rpartition(":")[2]
         try:
-            return decode_target(item, SERVERS_PREFIX, port)
+            return decode_target(item, SERVERS_PREFIX, port, era)
         except ContentError as error:
             self._report_bad_entry(item.key, item.revision, str(error))
             return None
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,6 +18,7 @@
 
     ``fault`` is None, a status to respond with, ``"reset"`` (connections are closed)
     or ``"silent"`` (calls get no response). ``calls`` counts the calls received.
+    ``era`` counts the returns from an older copy; None for a store that does not tell.
     """
 
     def __init__(self):
@@ -25,6 +26,7 @@
         self.events = []
         self.revision = 10
         self.compacted_at = 0
+        self.era = 1
         self.fault = None
         self.delay_s = 0.0
         self.calls = 0
@@ -73,6 +75,19 @@
             if not future.done():
                 future.set_result(None)
 
+    def copy(self):
+        """Return a copy of the present state, for ``restore``."""
+        return dict(self.items), list(self.events), self.revision
+
+    def restore(self, copy):
+        """Come back from an older copy: revisions are given out again.
+
+        Connections are kept, and so are watches that wait.
+        """
+        items, events, self.revision = copy
+        self.items, self.events = dict(items), list(events)
+        self.era += 1
+
     def compact(self):
         """Drop all events; watches from an older revision get status 410."""
         self.events.clear()
@@ -126,7 +141,7 @@
 
     async def _watch(self, request, arguments):
         after = int(arguments["after"])
-        if after < self.compacted_at:
+        if not self.compacted_at <= after <= self.revision:
             self._send(request, 410, {})
             return
         deadline_s = asyncio.get_running_loop().time()
@@ -151,6 +166,8 @@
 
     def _send(self, request, status, body):
         headers = HTTPHeaders({"Content-Type": "application/json"})
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
         body = json.dumps(body).encode()
         asyncio.get_running_loop().call_later(
             self.delay_s, respond, request, status, headers, body
--- a/tests/core/queueing.py
+++ b/tests/core/queueing.py
@@ -15,7 +15,7 @@
 from balsamdeal.core import crash_news, request_events
 from balsamdeal.core.proxy import Proxy
 from tests.core.test_routes import make_configuration, make_route
-from tests.core.test_targets import make_target
+from tests.core.test_targets import apply_listing, make_target
 
 SAME_DOMAIN_DELAY_S = 0.0002
 OTHER_DOMAIN_DELAY_S = 0.0009
@@ -214,7 +214,7 @@
     def _prepare(self, proxy):
         """Give a node the configuration and the list of targets."""
         proxy.apply_configuration(self.configuration)
-        proxy.targets.apply_listing(self.entries, 1, False, self.now_s)
+        apply_listing(proxy.targets, self.entries, 1, False, self.now_s)
         proxy.update_targets(self.now_s)
 
     def restart(self, node):
--- a/tests/core/test_calls.py
+++ b/tests/core/test_calls.py
@@ -17,7 +17,7 @@
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.work_queue import LATE_RETRY_AFTER_S
 from tests.core.test_routes import make_configuration, make_route
-from tests.core.test_targets import make_target
+from tests.core.test_targets import apply_listing, make_target, remove_target
 
 LOAD = request_events.NodeLoad(1, 0, 4, 0.1, 0.0, False)
 ANSWERED = request_events.WorkReply(
@@ -41,7 +41,7 @@
     def setUp(self):
         self.targets = TargetList()
         entries = [(name, make_target(name, 1)) for name in ("a", "b", "c")]
-        self.targets.apply_listing(entries, 1, False, 0.0)
+        apply_listing(self.targets, entries, 1, False, 0.0)
         random = Random(3)
         placement = Placement(self.targets, "erie", "node-x", random)
         self.crashes = CrashTable()
@@ -99,7 +99,7 @@
 
     def test_fewer_targets_are_tried_while_most_refuse(self):
         entries = [(name, make_target(name, 1)) for name in "abcdefgh"]
-        self.targets.apply_listing(entries, 2, False, 0.0)
+        apply_listing(self.targets, entries, 2, False, 0.0)
         self.assertEqual(self.count_tried(0.0), MAX_TARGETS_TRIED)
         tried = [self.count_tried(5.0 * number) for number in range(1, 12)]
         self.assertEqual(tried[-1], MAX_TARGETS_TRIED_OVERLOADED)
@@ -150,7 +150,7 @@
     # Guards against a notice that is passed on to the caller but not obeyed.
     def test_next_attempts_follow_the_notice_of_an_answer(self):
         for instance in ("b", "c"):
-            self.targets.apply_changes([(instance, None, 2)], 2, 0.0)
+            remove_target(self.targets, instance, 2, 0.0)
         attempt = self.send()
         self.assertIsNone(attempt.limit_report)
         notice = request_events.TargetNotice(True, 4.0)
--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -21,7 +21,7 @@
 )
 from balsamdeal.core.targets import TargetList
 from tests.core.queueing import Load, QueueingFleet, make_route
-from tests.core.test_targets import make_target
+from tests.core.test_targets import apply_listing, make_target
 
 SETTLE_S = 3.0
 CRASHES = 3
@@ -132,7 +132,7 @@
     def setUp(self):
         self.targets = TargetList()
         entries = [(name, make_target(name, 1)) for name in ("a", "b", "c")]
-        self.targets.apply_listing(entries, 1, False, 0.0)
+        apply_listing(self.targets, entries, 1, False, 0.0)
         self.table = CrashTable()
         self.news = CrashNews(self.table, self.targets, "node-a", "erie", Random(1))
 
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -7,7 +7,12 @@
 from balsamdeal.core.request_events import LinkReport, NodeLoad, TargetNotice
 from balsamdeal.core.targets import TargetList
 from tests.core.test_routes import make_configuration, make_route
-from tests.core.test_targets import make_target
+from tests.core.test_targets import (
+    apply_listing,
+    make_target,
+    put_target,
+    remove_target,
+)
 
 
 class PlacementTest(unittest.TestCase):
@@ -24,7 +29,7 @@
                 ("f1", "toledo"),
             )
         ]
-        self.targets.apply_listing(self.entries, 1, False, 0.0)
+        apply_listing(self.targets, self.entries, 1, False, 0.0)
         self.placement = Placement(self.targets, "erie", "node-n0", Random(5))
 
     def report(self, name, busy, queued=0, work_s=0.1, now_s=0.0, stopping=False):
@@ -106,7 +111,7 @@
 
     def test_leaving_and_tried_targets_are_excluded(self):
         leaving = make_target("n0", 2, failure_domain="erie", leaving=True)
-        self.targets.apply_changes([("n0", leaving, 2)], 2, 1.0)
+        put_target(self.targets, leaving, 1.0)
         self.assertEqual(self.choose_repeatedly(), {"n1"})
         tried = [self.targets.targets["n1"].identity]
         self.assertLessEqual(self.choose_repeatedly(excluded=tried), {"f0", "f1"})
@@ -116,11 +121,11 @@
         identity = self.targets.targets["n0"].identity
         self.targets.notices.record(identity, TargetNotice(leaving=True), 0.0)
         self.assertNotIn("n0", self.choose_repeatedly())
-        self.targets.apply_changes([("n0", None, 5)], 5, 1.0)
+        remove_target(self.targets, "n0", 5, 1.0)
         self.placement.drop_unlisted()
         for revision, born_ms, expected in ((6, None, False), (7, 9, True)):
             target = make_target("n0", revision, slots=10, born_ms=born_ms)
-            self.targets.apply_changes([("n0", target, revision)], revision, 2.0)
+            put_target(self.targets, target, 2.0)
             self.assertEqual("n0" in self.choose_repeatedly(), expected)
 
     # Guards against a target that is never asked again after its limit has ended.
@@ -216,7 +221,7 @@
         for index in range(2, 6):
             target = make_target(f"n{index}", 1, failure_domain="erie", slots=10)
             self.entries.append((f"n{index}", target))
-        self.targets.apply_listing(self.entries, 2, False, 0.0)
+        apply_listing(self.targets, self.entries, 2, False, 0.0)
         self.report_all(f0=3, f1=3)
         tried = [self.targets.targets[name].identity for name in ("n0", "n3")]
         self.assertLessEqual(
@@ -226,14 +231,14 @@
 
     def test_late_work_leaves_a_domain_without_targets(self):
         for name in ("n0", "n1"):
-            self.targets.apply_changes([(name, None, 5)], 5, 0.0)
+            remove_target(self.targets, name, 5, 0.0)
         for name in ("f0", "f1"):
             self.report(name, 10, 60)
         self.assertIsNotNone(self.choose())
 
     def test_choice_compares_a_bounded_number_of_targets(self):
         entries = [(f"m{i}", make_target(f"m{i}", 9)) for i in range(200)]
-        self.targets.apply_listing(entries, 9, False, 0.0)
+        apply_listing(self.targets, entries, 9, False, 0.0)
         rated = []
         estimate = self.placement.estimate_s
         self.placement.estimate_s = lambda *arguments: (
--- a/tests/core/test_target_work.py
+++ b/tests/core/test_target_work.py
@@ -16,7 +16,7 @@
 )
 from balsamdeal.core.targets import TargetList
 from balsamdeal.core.work_queue import MAX_WAITING_BYTES
-from tests.core.test_targets import make_target
+from tests.core.test_targets import make_target, put_target, remove_target
 
 
 def make_work(work_id, now_s=0.0, **changes):
@@ -50,7 +50,7 @@
 
     def list_target(self, revision, now_s=0.0, **changes):
         target = make_target("a", revision, **changes)
-        self.targets.apply_changes([("a", target, revision)], revision, now_s)
+        put_target(self.targets, target, now_s)
         self.target_work.update_targets(now_s)
 
     def receive(self, *arguments, **changes):
@@ -332,7 +332,7 @@
         self.assertIn((3, request_events.NOT_RUN), self.get_outcomes(effects))
 
     def test_target_removed_from_the_list_gets_nothing_after_a_second(self):
-        self.targets.apply_changes([("a", None, 5)], 5, 10.0)
+        remove_target(self.targets, "a", 5, 10.0)
         self.target_work.update_targets(10.0)
         effects = self.receive(1, 10.0 + LEAVING_GRACE_S + 0.1)
         self.assertEqual(self.get_outcomes(effects), [(1, request_events.NOT_RUN)])
@@ -397,7 +397,7 @@
         self.receive(1)
         self.end(1, 0.1)
         forged = make_target("forged", 9, slots=500, node_address="node-a")
-        self.targets.apply_changes([("forged", forged, 9)], 9, 1.0)
+        put_target(self.targets, forged, 1.0)
         self.target_work.update_targets(1.0)
         self.assertEqual(self.target_work.queue.limit, 2)
 
--- a/tests/net/test_feed.py
+++ b/tests/net/test_feed.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from balsamdeal.core.proxy import Proxy
+from balsamdeal.core.revisions import Revision
 from balsamdeal.errors import HistoryLostError, SourceError
 from balsamdeal.metrics import Metrics
 from balsamdeal.net.feed import SHORT_OUTAGE_S, Outage, TargetFeed, TargetUpdate
@@ -45,7 +46,7 @@
         self.check()
         self.lists += 1
         entries = [(name, make_target(name, 1)) for name in self.names]
-        return TargetUpdate(entries, [], 10)
+        return TargetUpdate(entries, [], Revision(0, 10))
 
     async def watch_targets(self, after, wait_s):
         await self.wait()
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 
+from balsamdeal.core.revisions import Revision
 from balsamdeal.core.routes import Backend, HostRoute, Limits
 from balsamdeal.errors import ContentError
 from balsamdeal.platform.messages import (
@@ -281,13 +282,13 @@
             content = json.dumps(content).encode()
         value = base64.b64encode(content).decode()
         item = ItemMessage(key=key, revision=revision, value=value)
-        return decode_target(item, "servers/", "8145")
+        return decode_target(item, "servers/", "8145", era=2)
 
     def test_target_of_an_entry(self):
         target = self.decode(make_entry("10.0.0.9:8080", born=1790000000000))
         self.assertEqual(target.identity, ("i-1", 1790000000000))
         self.assertEqual(target.node_address, "10.0.0.9:8145")
-        self.assertEqual((target.revision, target.leaving), (7, False))
+        self.assertEqual((target.revision, target.leaving), (Revision(2, 7), False))
 
     def test_draining(self):
         self.assertTrue(self.decode(make_entry("10.0.0.9:1", state="draining")).leaving)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,17 +4,19 @@
 import unittest
 from types import SimpleNamespace
 
+from balsamdeal.core.proxy import Proxy
 from balsamdeal.core.replication import WATCH_WAIT_S
+from balsamdeal.core.revisions import Revision
 from balsamdeal.errors import HistoryLostError, SourceError
 from balsamdeal.metrics import Metrics
-from balsamdeal.net.feed import WATCH_TIMEOUT_S
+from balsamdeal.net.feed import WATCH_TIMEOUT_S, TargetFeed
 from balsamdeal.platform.store import StoreReader
 from standins.store import Store
 from tests.platform.test_messages import make_configuration, make_entry, make_route
 
 
-class StoreReaderTest(unittest.IsolatedAsyncioTestCase):
-    """Reads, pages and watches, and failures of the store."""
+class StoreReaderFixture:
+    """A reader of a stand-in store."""
 
     async def asyncSetUp(self):
         self.store = Store()
@@ -26,8 +28,8 @@
             link_mbps=None,
         )
         self.metrics = Metrics({})
-        shell = SimpleNamespace(settings=settings, metrics=self.metrics)
-        self.reader = StoreReader(shell)
+        self.shell = SimpleNamespace(settings=settings, metrics=self.metrics)
+        self.reader = StoreReader(self.shell)
         self.addCleanup(self.reader._pool.close)
 
     def put_servers(self, count):
@@ -43,6 +45,16 @@
         update = await self.reader.read_configuration(after, wait_s)
         return update.version, update.configuration and update.configuration.version
 
+    async def wait_for(self, check, bound_s=5.0):
+        """Wait until a condition holds, for at most the bound."""
+        async with asyncio.timeout(bound_s):
+            while not check():
+                await asyncio.sleep(0.01)
+
+
+class StoreReaderTest(StoreReaderFixture, unittest.IsolatedAsyncioTestCase):
+    """Reads, pages and watches, and failures of the store."""
+
     async def test_configuration(self):
         self.put_configuration(3)
         self.assertEqual(await self.read_configuration(0, 0.0), (3, 3))
@@ -137,7 +149,7 @@
         self.put_servers(8)
         update = await self.reader.read_targets()
         self.assertEqual(len(update.entries), 8)
-        self.assertEqual(update.revision, self.store.revision)
+        self.assertEqual(update.revision, Revision(1, self.store.revision))
 
     async def test_target_watch_returns_changes_and_removals(self):
         self.put_servers(2)
@@ -215,7 +227,7 @@
         idle = self.reader._pool._idle[self.store.address]
         self.assertGreater(len(idle), 2)
         self.store.fault = "silent"
-        revision = self.store.revision
+        revision = Revision(1, self.store.revision)
         with self.assertRaises(SourceError):
             await self.reader.watch_targets(revision, 0.1)
         self.assertNotIn(self.store.address, self.reader._pool._idle)
@@ -254,3 +266,121 @@
         self.assertEqual(await self.read_configuration(4), (4, None))
         # The key once, as a version has come, and a watch each time.
         self.assertEqual(self.store.calls - calls, 3)
+
+
+class DrillTest(StoreReaderFixture, unittest.IsolatedAsyncioTestCase):
+    """The store comes back from an older copy: revisions are given out again."""
+
+    # Guards against a version that is skipped for good, as the one that was lost had
+    # the same revision.
+    async def test_version_at_a_revision_given_out_again_is_read(self):
+        self.put_configuration(3)
+        await self.read_configuration(0, 0.0)
+        copy = self.store.copy()
+        self.put_configuration(9)
+        self.put_configuration(11)
+        self.assertEqual(await self.read_configuration(3), (11, 11))
+        self.store.restore(copy)
+        self.put_configuration(11)
+        self.put_configuration(14)
+        self.assertEqual(await self.read_configuration(11), (14, 14))
+
+    # Guards against a version that a watch misses: its start revision has been given
+    # out again, so the store does not answer that it lacks it.
+    async def test_watch_that_begins_in_the_earlier_era_reads_the_key(self):
+        self.put_configuration(3)
+        await self.read_configuration(0, 0.0)
+        await self.read_configuration(3)
+        copy = self.store.copy()
+        self.put_servers(4)
+        await self.read_configuration(3)
+        self.store.restore(copy)
+        self.put_configuration(4)
+        self.put_servers(6)
+        self.assertEqual(await self.read_configuration(3), (4, 4))
+
+    async def test_configuration_of_the_copy_does_not_replace_a_newer_one(self):
+        self.put_configuration(3)
+        copy = self.store.copy()
+        self.put_configuration(4)
+        self.assertEqual(await self.read_configuration(0, 0.0), (4, 4))
+        self.store.restore(copy)
+        for _ in range(3):
+            self.assertEqual(await self.read_configuration(4), (4, None))
+
+    # Guards against targets whose changes lie between the copy and the watch's start.
+    async def test_target_watch_across_a_drill_raises_on_lost_history(self):
+        copy = self.store.copy()
+        self.put_servers(2)
+        revision = (await self.reader.read_targets()).revision
+        watch = asyncio.ensure_future(self.reader.watch_targets(revision, 1.0))
+        await asyncio.sleep(0.05)
+        self.store.restore(copy)
+        self.put_servers(4)
+        with self.assertRaises(HistoryLostError):
+            await watch
+        update = await self.reader.read_targets()
+        self.assertEqual(update.revision, Revision(2, self.store.revision))
+
+    # Guards against a list whose pages come from both sides of a drill.
+    async def test_list_across_a_drill_raises_on_lost_history(self):
+        self.put_servers(8)
+        self.store.delay_s = 0.1
+        listing = asyncio.ensure_future(self.reader.read_targets())
+        await asyncio.sleep(0.15)
+        self.store.restore(self.store.copy())
+        with self.assertRaises(HistoryLostError):
+            await listing
+
+    # Guards against an answer from before the drill that is late on its connection.
+    async def test_late_answer_of_the_earlier_era_is_an_error(self):
+        self.put_servers(2)
+        self.store.delay_s = 0.2
+        late = asyncio.ensure_future(self.reader.read_targets())
+        await asyncio.sleep(0.1)
+        self.store.delay_s = 0.0
+        self.store.restore(self.store.copy())
+        await self.reader.read_targets()
+        with self.assertRaisesRegex(SourceError, "era 1 after one of era 2"):
+            await late
+
+    async def test_store_that_tells_no_era_keeps_one_order(self):
+        self.store.era = None
+        self.put_servers(2)
+        revision = (await self.reader.read_targets()).revision
+        self.assertEqual(revision, Revision(0, self.store.revision))
+        self.store.put("servers/i-1", make_entry("10.0.0.1:80", state="draining"))
+        changes = (await self.reader.watch_targets(revision, 1.0)).changes
+        self.assertEqual(changes[0][2], Revision(0, self.store.revision))
+
+    async def test_malformed_eras_are_errors(self):
+        for era in ("two", "-1", "9" * 400, "²"):
+            self.store.era = era
+            with self.subTest(era), self.assertRaises(SourceError):
+                await self.reader.read_targets()
+
+    # Guards against targets that stay in use after they have left, as they left at a
+    # revision below the one known of them (review/2).
+    async def test_targets_that_leave_after_a_drill_are_followed(self):
+        proxy = Proxy("node-a", "erie", 1)
+        self.shell.proxy, self.shell.loop = proxy, asyncio.get_running_loop()
+        copy = self.store.copy()
+        for _ in range(5):
+            self.put_servers(3)
+        feed = TargetFeed(self.shell, self.reader, 1)
+        feed.start()
+        self.addCleanup(feed.stop)
+        await self.wait_for(lambda: len(proxy.targets.targets) == 3)
+        self.store.restore(copy)
+        self.put_servers(2)
+        await self.wait_for(lambda: self.metrics.counters.get("source_eras"))
+        self.assertIn("servers/i-2", proxy.targets.missing)
+        draining = make_entry("10.0.0.0:80", state="draining")
+        self.store.put("servers/i-0", draining)
+        self.store.delete("servers/i-1")
+        # A leaving target gets no new requests two seconds later.
+        await self.wait_for(
+            lambda: "servers/i-1" not in proxy.targets.targets
+            and proxy.targets.targets["servers/i-0"].leaving,
+            2.0,
+        )
