Begin a route's turns anew when its backends or weights change

Cause: the credits of the weighted round robin were kept by the route's name across configurations, in units of the weights. After 90 and 10, up to 50 of credit was paid off at 1 a request.

Ruled out: a version in force late (the nodes log it at once), retries (a call keeps its service).

Why it works: state is kept for a route with these backends, so none of another unit is left. Each node begins at a random turn, so a fleet that changes together still follows the weights. State of routes that a version lacks is dropped, that of core/spent_time.py too.

--- a/balsamdeal/core/calls.py
+++ b/balsamdeal/core/calls.py
@@ -110,9 +110,20 @@
         self.budgets = {}
         self.refusal_shares = {}
         self.spent_time = SpentTimeEstimator()
-        self._backend_choice = WeightedChoice()
+        self._backend_choice = WeightedChoice(random)
         self._next_attempt = 0
 
+    def set_configuration(self, configuration):
+        """Put a configuration in force for new calls, and drop what it lacks."""
+        self.configuration = configuration
+        routes = [
+            route
+            for routes in configuration.hosts.values()
+            for route in routes.values()
+        ]
+        self._backend_choice.keep_routes(routes)
+        self.spent_time.keep_routes(routes)
+
     def receive(self, event):
         """Route a call and send its first attempt."""
         if self.refuse_all:
--- a/balsamdeal/core/proxy.py
+++ b/balsamdeal/core/proxy.py
@@ -143,7 +143,7 @@
         known = self.calls.configuration
         if known is not None and configuration.version <= known.version:
             return False
-        self.calls.configuration = configuration
+        self.calls.set_configuration(configuration)
         self.placement.set_routes(configuration)
         return True
 
--- a/balsamdeal/core/routes.py
+++ b/balsamdeal/core/routes.py
@@ -3,8 +3,12 @@
 A ``Configuration`` is immutable and complete: a node applies all of it or none.
 """
 
+import math
 from dataclasses import dataclass, field
 
+# The first turn of a route is drawn among this many.
+START_TURNS = 100
+
 
 @dataclass(frozen=True, slots=True)
 class Backend:
@@ -89,21 +93,64 @@
     Smooth weighted round robin: the difference between each backend's count and its
     share doesn't grow with the number of requests. It is about one request at most, and
     can exceed one if a route has four or more backends.
+
+    Credits are in units of the weights, so they belong to a route with these backends:
+    if a configuration changes them, the route begins anew. It begins at a random turn:
+    all nodes begin at about the same time, and the same backend would get the first
+    requests of all of them.
+
+    :param random: a seeded generator.
     """
 
-    def __init__(self):
-        self._credits = {}
+    def __init__(self, random):
+        self._random = random
+        self._turns = {}
 
     def choose(self, route):
         """Return the name of the service that gets the route's next request."""
         if len(route.backends) == 1:
             return route.backends[0].service
-        credits = self._credits.setdefault(route.name, {})
-        total = 0.0
-        for backend in route.backends:
-            total += backend.weight
-            earned = credits.get(backend.service, 0.0) + backend.weight
-            credits[backend.service] = earned
-        best = max(route.backends, key=lambda item: credits[item.service])
-        credits[best.service] -= total
-        return best.service
+        key = (route.name, route.backends)
+        turn = self._turns.get(key)
+        if turn is None:
+            turn = self._turns[key] = _Turn.from_backends(route.backends)
+            for _ in range(self._random.randrange(START_TURNS)):
+                turn.advance()
+        return route.backends[turn.advance()].service
+
+    def keep_routes(self, routes):
+        """Drop the state of all routes but these."""
+        keys = {(route.name, route.backends) for route in routes}
+        for key in self._turns.keys() - keys:
+            del self._turns[key]
+
+
+@dataclass(slots=True)
+class _Turn:
+    """The turns of the backends of a route: their weights and credits, in their order.
+
+    The weights have been scaled so that no sum of them overflows.
+    """
+
+    weights: list[float]
+    credits: list[float]
+
+    @classmethod
+    def from_backends(cls, backends):
+        """Return the state before the first turn."""
+        exponent = max(math.frexp(backend.weight)[1] for backend in backends)
+        weights = [math.ldexp(backend.weight, -exponent) for backend in backends]
+        return cls(weights, [0.0] * len(weights))
+
+    def advance(self):
+        """Return the index of the backend whose turn it is, and charge it."""
+        best, total = None, 0.0
+        for index, weight in enumerate(self.weights):
+            if not weight:
+                continue
+            total += weight
+            self.credits[index] += weight
+            if best is None or self.credits[index] > self.credits[best]:
+                best = index
+        self.credits[best] -= total
+        return best
--- a/balsamdeal/core/spent_time.py
+++ b/balsamdeal/core/spent_time.py
@@ -33,6 +33,11 @@
     def __init__(self):
         self._modes = {}
 
+    def keep_routes(self, routes):
+        """Drop the state of all routes but these."""
+        for name in self._modes.keys() - {route.name for route in routes}:
+            del self._modes[name]
+
     def estimate_spent_s(self, route, time_left_s):
         """Return how long a caller has been retrying, in seconds.
 
