Keep finish times of fair queueing by weight

Cause: a flow's next work starts after the finish of its last, which is in units of the weight at that time. At 0.01 a piece takes 100 of virtual time; at 8 an eighth, but behind that 100.

Before: test_flow_whose_weight_is_raised_gets_its_new_share fails ('tally' not found in ['counters', 'counters']). After: it passes.

Why it works: work of another weight begins at the queue's virtual time, as that of a new flow does.

--- a/balsamdeal/core/admission.py
+++ b/balsamdeal/core/admission.py
@@ -40,6 +40,7 @@
         self.queue = {}
         self.service_time_s = DEFAULT_SERVICE_TIME_S
         self._virtual_time = 0.0
+        # By flow and weight: a finish time is in units of that weight.
         self._last_finish = {}
 
     @property
@@ -70,7 +71,7 @@
         if self.busy < self.slots and not self.queue:
             self.busy += 1
             return "run", ""
-        start = max(self._virtual_time, self._last_finish.get(flow, 0.0))
+        start = max(self._virtual_time, self._last_finish.get((flow, weight), 0.0))
         item = QueuedWork(work_id, flow, weight, start + 1.0 / weight, deadline_s)
         shed = ""
         if len(self.queue) >= self.capacity:
@@ -78,9 +79,9 @@
             if latest.virtual_finish <= item.virtual_finish:
                 return "shed", ""
             del self.queue[latest.work_id]
-            self._last_finish[latest.flow] -= 1.0 / latest.weight
+            self._last_finish[latest.flow, latest.weight] -= 1.0 / latest.weight
             shed = latest.work_id
-        self._last_finish[flow] = item.virtual_finish
+        self._last_finish[flow, weight] = item.virtual_finish
         self.queue[work_id] = item
         return "queued", shed
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -50,6 +50,15 @@
         [(decision, _)] = self.fill(TALLY, 1, 1.0, start=90)
         self.assertEqual(decision, "shed")
 
+    # Guards against a flow that starves after its weight was raised, since its new work
+    # queues behind finish times in units of the old weight (the cause of review/4).
+    def test_flow_whose_weight_is_raised_gets_its_new_share(self):
+        self.fill(COUNTER, 2, 1.0)
+        self.fill(TALLY, 2, 0.01)
+        self.fill(COUNTER, 2, 1.0, start=2)
+        self.fill(TALLY, 2, 8.0, start=2)
+        self.assertIn("tally", self.serve(2))
+
     def test_retry_after_follows_the_drain_rate(self):
         self.fill(COUNTER, 2, 1.0)
         short_s = self.admission.get_retry_after_s()
