Take no entry for a server's that lacks a field or has it of another type

Cause: ServerMessage lacked version and sequence and gave cold-remaining-s a default, so an entry of another writer under a server's id counted as the server's.

The test test_unused_fields_may_have_any_type demanded that. Three tests replace it: each field missing, each of another type (a case it allowed is now rejected), and unknown fields of any type, which is what it was right about.

Before: test_entry_that_lacks_a_field_is_rejected and test_entry_with_a_field_of_another_type_is_rejected fail (13 subtests).

--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -147,18 +147,19 @@
     """A target's entry in the store.
 
     ``address`` is the target's own, ``zone`` its failure domain, ``born`` its start in
-    Unix milliseconds. The entry's ``sequence``, a count of the server's reports, is
-    not used.
+    Unix milliseconds. ``version`` of its software, ``cold_remaining_s`` and
+    ``sequence``, a count of its reports, are not used. They are validated because an
+    entry that lacks one, or has one of another type, comes from another writer.
     """
 
     service: NonEmptyText
     address: str = Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
     zone: NonEmptyText
+    version: str
     slots: int = Field(gt=0)
     state: Literal["ready", "draining"]
-    # Not used: a target's speed is measured from the requests it runs. It is validated
-    # because an entry with a value of the wrong type comes from another writer.
-    cold_remaining_s: float = Field(default=0.0, ge=0)
+    cold_remaining_s: float = Field(ge=0)
+    sequence: int
     born: int | None = None
 
 
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -311,5 +311,24 @@
             with self.subTest(str(content)[:40]), self.assertRaises(ContentError):
                 self.decode(content)
 
-    def test_unused_fields_may_have_any_type(self):
-        self.decode(make_entry("10.0.0.9:8080", sequence="x", new=1))
+    # Guards against requests that are run by another service, as an entry of another
+    # writer under a server's id was taken for the server's (review/1).
+    def test_entry_that_lacks_a_field_is_rejected(self):
+        good = make_entry("10.0.0.9:8080")
+        for missing in good:
+            content = {name: good[name] for name in good if name != missing}
+            with self.subTest(missing), self.assertRaises(ContentError):
+                self.decode(content)
+
+    def test_entry_with_a_field_of_another_type_is_rejected(self):
+        good = make_entry("10.0.0.9:8080", born=1790000000000)
+        for name in good:
+            for value in ([], {}, True, None if name != "born" else [None]):
+                with self.subTest((name, value)), self.assertRaises(ContentError):
+                    self.decode({**good, name: value})
+        for changes in ({"version": 3}, {"sequence": "x"}, {"cold-remaining-s": "0"}):
+            with self.subTest(changes), self.assertRaises(ContentError):
+                self.decode({**good, **changes})
+
+    def test_unknown_fields_may_have_any_type(self):
+        self.decode(make_entry("10.0.0.9:8080", new=1, newer=[{}]))
