Reject values that no later step can take

Cause: slots had no bound; a float times such a number raises OverflowError, which ended the handling of each request of the service.

On related paths: weights and times of a configuration could be infinite, or overflow in milliseconds; addresses of entries and settings were not checked, and a port out of range raised an error that no attempt handled; a whole answer that is nested too deeply was no failed read. Deep nesting within an entry was handled before (tested).

Before, without the change: test_odd_entries_of_another_writer_disturb_no_request, test_entry_with_a_value_that_nothing_can_take_is_rejected (16 of 27 values), test_times_of_a_route_are_bounded, test_address_that_no_socket_takes_is_an_error (OverflowError: connect(): port must be 0-65535), and the tests of settings fail. After: all pass.

Why it works: numbers are bounded and addresses checked where they are decoded, so an entry with others names no target; the pool takes such an address for a failed attempt.

--- a/balsamdeal/net/connections.py
+++ b/balsamdeal/net/connections.py
@@ -306,7 +306,8 @@
         )
         try:
             await stream.connect((host, int(port)))
-        except (StreamClosedError, OSError) as error:
+        except (StreamClosedError, OSError, OverflowError, ValueError) as error:
+            # The last two: no socket takes such an address.
             stream.close()
             reason = str(stream.error or error or "closed")
             refused = isinstance(stream.error, ConnectionRefusedError)
--- a/balsamdeal/platform/messages.py
+++ b/balsamdeal/platform/messages.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ipaddress
 import json
 from functools import partial
 from itertools import repeat
@@ -42,17 +43,47 @@
 
 
 class Message(BaseModel):
-    """Base of the platform's messages: dashes in names, unknown fields ignored."""
+    """Base of the platform's messages: dashes in names, unknown fields ignored.
 
-    model_config = ConfigDict(alias_generator=_to_alias, extra="ignore", strict=True)
+    Numbers that no float holds are invalid: JSON has them, but sums and products of
+    them are none.
+    """
+
+    model_config = ConfigDict(
+        alias_generator=_to_alias, extra="ignore", strict=True, allow_inf_nan=False
+    )
+
+
+def _check_address(address):
+    """Return an address of IPv4 and port if a socket can connect to it.
+
+    :raises ValueError: if it can't.
+    """
+    host, _, port = address.rpartition(":")
+    ip = ipaddress.IPv4Address(host)
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise ValueError(f"{ip} is not the address of a VM")
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not (is_number and 1 <= int(port) <= MAX_PORT):
+        raise ValueError(f"port is not within 1 and {MAX_PORT}")
+    return address
 
 
 # A version is sent as a string of hexadecimal digits.
 HexNumber = Annotated[str, AfterValidator(partial(int, base=16))]
+Address = Annotated[str, AfterValidator(_check_address)]
 NonEmptyText = Annotated[str, Field(min_length=1)]
 PathPrefix = Annotated[str, Field(pattern="^/")]
 PositiveFloat = Annotated[float, Field(gt=0)]
 PositiveInt = Annotated[int, Field(ge=1)]
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+# More concurrent runs than any target has; products of larger numbers may overflow.
+MAX_SLOTS = 1_000_000
+# The range of a 64-bit integer, in which times and counts are.
+MAX_INTEGER = 2**63 - 1
+# Longest timeout and objective of a route that is told from a longer one, in seconds.
+MAX_ROUTE_TIME_S = 86_400.0
 # Default of an optional column that a table lacks: null in each row.
 NULL_COLUMN = repeat(None)
 DEFAULT_OBJECTIVE_S = 1.0
@@ -153,14 +184,14 @@
     """
 
     service: NonEmptyText
-    address: str = Field(pattern=r"^\d+\.\d+\.\d+\.\d+:\d+$")
+    address: Address
     zone: NonEmptyText
     version: str
-    slots: int = Field(gt=0)
+    slots: int = Field(gt=0, le=MAX_SLOTS)
     state: Literal["ready", "draining"]
     cold_remaining_s: float = Field(ge=0)
-    sequence: int
-    born: int | None = None
+    sequence: int = Field(ge=-MAX_INTEGER, le=MAX_INTEGER)
+    born: int | None = Field(default=None, ge=-MAX_INTEGER, le=MAX_INTEGER)
 
 
 class ItemMessage(Message):
@@ -210,8 +241,11 @@
         routes.path_prefix,
         [_build_backends(*part, services) for part in parts],
         [kind in IDEMPOTENT_KINDS for kind in routes.kind],
-        routes.timeout_s,
-        (value or DEFAULT_OBJECTIVE_S for value in routes.target_latency_s),
+        (min(value, MAX_ROUTE_TIME_S) for value in routes.timeout_s),
+        (
+            min(value or DEFAULT_OBJECTIVE_S, MAX_ROUTE_TIME_S)
+            for value in routes.target_latency_s
+        ),
         (value or DEFAULT_MAX_ATTEMPTS for value in routes.max_attempts),
         (value or DEFAULT_RANK for value in routes.priority),
     )
--- a/balsamdeal/platform/settings.py
+++ b/balsamdeal/platform/settings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from balsamdeal.core.rate_limit import DEFAULT_SETTLE_S
-from balsamdeal.platform.messages import Message
+from balsamdeal.platform.messages import Address, Message
 from balsamdeal.proxysettings import ProxySettings
 
 PATH_VARIABLE = "BALSAMDEAL_BOOT"
@@ -18,9 +18,9 @@
     readiness checks.
     """
 
-    outbound: str
-    inbound: str
-    ready_address: str
+    outbound: Address
+    inbound: Address
+    ready_address: Address
 
 
 class BoundsMessage(Message):
@@ -46,7 +46,7 @@
 class PlatformMessage(Message):
     """The address of the platform's store."""
 
-    address: str
+    address: Address
 
 
 class SettingsMessage(Message):
@@ -59,7 +59,7 @@
     region: str = ""
     zone: str
     service: str
-    app_address: str
+    app_address: Address
     listen: ListenMessage
     limits: VmLimitsMessage = VmLimitsMessage()
     bounds: BoundsMessage = BoundsMessage()
--- a/balsamdeal/platform/store.py
+++ b/balsamdeal/platform/store.py
@@ -324,7 +324,7 @@
             raise SourceError(f"status {response.status}", "answer", self._address)
         try:
             body = json.loads(response.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise SourceError("not JSON", "answer", self._address) from error
         if not isinstance(body, dict):
             raise SourceError("not an object", "answer", self._address)
--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -97,6 +97,14 @@
         self.assertEqual(caught.exception.step, "refused")
         self.assertFalse(caught.exception.written)
 
+    # Guards against a request that ends without an answer, as an address that no
+    # socket takes raises another error than a failed connection.
+    async def test_address_that_no_socket_takes_is_an_error(self):
+        for address in ("127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:x"):
+            with self.subTest(address), self.assertRaises(ExchangeError) as caught:
+                await self.pool.fetch(address, "GET", "/", HTTPHeaders(), timeout_s=0.3)
+            self.assertFalse(caught.exception.written)
+
     async def test_answer_over_the_limit_is_an_error(self):
         body = b"x" * 2000
         self.answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + body]
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,12 +2,15 @@
 
 import base64
 import json
+import math
 import unittest
 
 from balsamdeal.core.revisions import Revision
 from balsamdeal.core.routes import Backend, HostRoute, Limits
 from balsamdeal.errors import ContentError
 from balsamdeal.platform.messages import (
+    MAX_ROUTE_TIME_S,
+    MAX_SLOTS,
     MAX_UNKNOWN_WORDS,
     ItemMessage,
     decode_configuration,
@@ -228,6 +231,13 @@
             with self.subTest(str(routes)[:40]), self.assertRaises(ContentError):
                 self.decode({**make_configuration(1, raw_route), "routes": routes})
 
+    # Guards against times that overflow once they are given in milliseconds.
+    def test_times_of_a_route_are_bounded(self):
+        times = {"timeout-s": 1e308, "target-latency-s": 1e308}
+        raw_route = make_route("/a/", service="desk", **times)
+        route = self.decode_routes(raw_route).hosts["shop.example"]["/a/"]
+        self.assertEqual((route.timeout_s, route.objective_s), (MAX_ROUTE_TIME_S,) * 2)
+
     def test_one_invalid_route_rejects_the_configuration(self):
         good = make_route("/a/", service="desk")
         zero_weight = make_route(
@@ -236,6 +246,9 @@
         negative_weight = make_route(
             "/b/", **{"weighted-backends": [{"service": "desk", "weight": -1}]}
         )
+        infinite_weight = make_route(
+            "/b/", **{"weighted-backends": [{"service": "desk", "weight": math.inf}]}
+        )
         unknown_backend = make_route(
             "/b/", **{"weighted-backends": [{"service": "none", "weight": 1}]}
         )
@@ -250,6 +263,9 @@
             ("kind of another type", {**good, "kind": 5}),
             ("kinds", {**good, "kind": ["safe"]}),
             ("zero weight", zero_weight),
+            ("infinite timeout", {**good, "timeout-s": math.inf}),
+            ("infinite objective", {**good, "target-latency-s": math.inf}),
+            ("infinite weight", infinite_weight),
             ("no backends", make_route("/b/", **{"weighted-backends": []})),
             ("negative weight", negative_weight),
             ("no prefix", {**good, "path-prefix": None}),
@@ -330,5 +346,44 @@
             with self.subTest(changes), self.assertRaises(ContentError):
                 self.decode({**good, **changes})
 
+    # Guards against nodes that fail on each request, or stop following the list, as
+    # an entry of another writer has a value that no later step can take (review/3).
+    def test_entry_with_a_value_that_nothing_can_take_is_rejected(self):
+        good = json.dumps(make_entry("10.0.0.9:8080", born=1790000000000))
+        long_number = "9" * 401
+        for old, new in (
+            ('"slots": 18', f'"slots": {long_number}'),
+            ('"slots": 18', f'"slots": {MAX_SLOTS + 1}'),
+            ('"slots": 18', '"slots": 1e5'),
+            ('"slots": 18', f'"slots": {"9" * 5000}'),
+            ('"sequence": 4', f'"sequence": {long_number}'),
+            ("1790000000000", long_number),
+            ("1790000000000", f"-{long_number}"),
+            ('"cold-remaining-s": 0', '"cold-remaining-s": 1e400'),
+            ('"cold-remaining-s": 0', f'"cold-remaining-s": {long_number}'),
+            ('"cold-remaining-s": 0', '"cold-remaining-s": NaN'),
+            ('"cold-remaining-s": 0', '"cold-remaining-s": Infinity'),
+            ("10.0.0.9:8080", "10.0.0.9:0"),
+            ("10.0.0.9:8080", "10.0.0.9:65536"),
+            ("10.0.0.9:8080", "10.0.0.9:-1"),
+            ("10.0.0.9:8080", "10.0.0.9:" + long_number),
+            ("10.0.0.9:8080", "10.0.0.9:٣"),
+            ("10.0.0.9:8080", "10.0.0.300:8080"),
+            ("10.0.0.9:8080", "10.0.0.٩:8080"),
+            ("10.0.0.9:8080", "10.0.0:8080"),
+            ("10.0.0.9:8080", "0.0.0.0:8080"),
+            ("10.0.0.9:8080", "255.255.255.255:8080"),
+            ("10.0.0.9:8080", "224.0.0.1:8080"),
+            ("10.0.0.9:8080", "10.0.0.9:8080\\n"),
+            ('"desk"', "[" * 900 + "]" * 900),
+            ('"desk"', "[" * 100000 + "]" * 100000),
+            ('"desk"', '{"a":' * 900 + "1" + "}" * 900),
+            ('"slots"', f'"new": {"[" * 100000 + "]" * 100000}, "slots"'),
+        ):
+            content = good.replace(old, new)
+            self.assertNotEqual(content, good)
+            with self.subTest((old, new[:40])), self.assertRaises(ContentError):
+                self.decode(content.encode())
+
     def test_unknown_fields_may_have_any_type(self):
         self.decode(make_entry("10.0.0.9:8080", new=1, newer=[{}]))
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -5,7 +5,7 @@
 import socket
 
 from tests.platform.fleet import HOST, FleetCase, make_rules
-from tests.platform.test_messages import make_configuration, make_route
+from tests.platform.test_messages import make_configuration, make_entry, make_route
 
 
 class OneNodeTest(FleetCase):
@@ -269,6 +269,34 @@
             self.assertEqual((await self.call("/once/1", f"r{number}")).status, 200)
         self.assertEqual(len(self.servers[0].seen), before)
 
+    # Guards against nodes that answer nothing, or stop following the list of targets,
+    # while it has an entry that no later step can take (review/3).
+    async def test_odd_entries_of_another_writer_disturb_no_request(self):
+        good = make_entry("127.0.0.9:8080", zone="erie")
+        for number, (old, new) in enumerate(
+            (
+                ('"slots": 18', f'"slots": {"9" * 401}'),
+                ("127.0.0.9:8080", "127.0.0.9:99999"),
+                ("127.0.0.9:8080", "127.0.0.300:80"),
+                ('"desk"', "[" * 900 + "]" * 900),
+                ('"desk"', "[" * 100000),
+                ('"sequence": 4', '"sequence": 1e400'),
+            )
+        ):
+            content = json.dumps(good).replace(old, new).encode()
+            self.store.put(f"servers/odd-{number}", content)
+        await asyncio.sleep(1.0)
+        for number in range(8):
+            self.assertEqual((await self.call("/once/1", f"r{number}")).status, 200)
+        self.put_entry(0, state="draining")
+        await asyncio.sleep(1.5)
+        before = len(self.servers[0].seen)
+        for number in range(8):
+            self.assertEqual((await self.call("/once/1", f"s{number}")).status, 200)
+        self.assertEqual(len(self.servers[0].seen), before)
+        self.assertNotIn("target feed failed", self.read_logs())
+        self.assertTrue(all(item.poll() is None for item in self.processes.values()))
+
     async def test_server_with_another_instance_id_runs_nothing(self):
         self.servers[0].instance = "i-other"
         for number in range(8):
