Wait in a stop until answers are written

Cause: the stop waits until all calls are answered, which means that their answers are in tornado's streams. What the kernel has not taken yet ends with the process.

Ruled out: the bound of the stop, the timeout of unacknowledged bytes.

The node of the product's own interface had the same fault.

Before: test_sigterm_cuts_off_no_answer_that_is_on_its_way fails (5804616 of 8000105 bytes), and so do test_drain_waits_for_bytes_that_are_not_written and test_drain_ends_in_time_beside_a_receiver_that_takes_nothing (1.95 s, as nothing is waited for).

Why it works: each server knows its connections, and a stop waits while one of them has bytes to write, up to the bound that it had.

--- a/balsamdeal/daemon.py
+++ b/balsamdeal/daemon.py
@@ -35,10 +35,11 @@
     return check_settings(collect_values(arguments, os.environ))
 
 
-async def drain(shell, timeout_s):
-    """Refuse new work and wait until the work in flight has ended.
+async def drain(shell, servers, timeout_s):
+    """Refuse new work and wait until the work in flight has ended and its answers left.
 
     :param shell: the running ``Shell``.
+    :param servers: its servers, see ``net.servers.listen``.
     :param timeout_s: the longest wait for that work, in seconds; LINGER_S is added.
     """
     loop = shell.loop
@@ -46,7 +47,12 @@
     deadline_s = loop.time() + timeout_s
     # Leave time for responses that carry the draining state to callers and peers.
     await asyncio.sleep(LINGER_S)
-    while not shell.node.is_idle() and loop.time() < deadline_s:
+
+    def is_idle():
+        is_writing = any(server.is_writing() for server in servers)
+        return shell.node.is_idle() and not is_writing
+
+    while not is_idle() and loop.time() < deadline_s:
         await asyncio.sleep(IDLE_POLL_S)
     await asyncio.sleep(LINGER_S)
 
@@ -71,7 +77,7 @@
     exempt_startup_objects()
     shell.start()
     await signals.get()
-    draining = loop.create_task(drain(shell, settings.drain_timeout_s))
+    draining = loop.create_task(drain(shell, servers, settings.drain_timeout_s))
     forced = loop.create_task(signals.get())
     await asyncio.wait({draining, forced}, return_when=asyncio.FIRST_COMPLETED)
     code = 0 if draining.done() else EXIT_FORCED
--- a/balsamdeal/net/proxying.py
+++ b/balsamdeal/net/proxying.py
@@ -225,6 +225,15 @@
         self.tasks.cancel()
         self.drop_idle_connections()
 
+    def is_idle(self):
+        """Return whether all calls and work have been answered, and the answers sent.
+
+        Those that the kernel has taken are sent even if this process ends.
+        """
+        return self.proxy.is_idle() and not any(
+            server.is_writing() for server in self.servers
+        )
+
     def handle(self, event):
         """Pass an event to the reducer and run the effects that it returns.
 
--- a/balsamdeal/net/request_reader.py
+++ b/balsamdeal/net/request_reader.py
@@ -4,6 +4,8 @@
 connection. The sizes of headers and bodies are checked here.
 """
 
+from weakref import WeakSet
+
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
@@ -106,7 +108,28 @@
     """Do nothing: TCP_NODELAY stays on."""
 
 
-class KeepaliveServer(HTTPServer):
+class DrainableServer(HTTPServer):
+    """A server that tells whether all that it has sent is on its way.
+
+    Bytes that a slow receiver has not taken are in this process, and end with it.
+    """
+
+    def initialize(self, *arguments, **options):
+        """Set up the server; the arguments are those of tornado's."""
+        super().initialize(*arguments, **options)
+        self._streams = WeakSet()
+
+    def handle_stream(self, stream, address):
+        """Serve a new connection."""
+        self._streams.add(stream)
+        super().handle_stream(stream, address)
+
+    def is_writing(self):
+        """Return whether any open connection has bytes that are not written yet."""
+        return any(stream.writing() for stream in self._streams if not stream.closed())
+
+
+class KeepaliveServer(DrainableServer):
     """A server that closes connections whose peer has silently gone away."""
 
     def handle_stream(self, stream, address):
--- a/balsamdeal/net/servers.py
+++ b/balsamdeal/net/servers.py
@@ -10,7 +10,6 @@
 from urllib.parse import unquote
 
 from pydantic import ValidationError
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 
 from balsamdeal import models
@@ -20,6 +19,7 @@
 from balsamdeal.net import peers, status, wire
 from balsamdeal.net.connections import measure_message
 from balsamdeal.net.forwarding import OUTCOME_PATH, WORK_PATH, respond
+from balsamdeal.net.request_reader import DrainableServer
 
 logger = logging.getLogger(__name__)
 
@@ -253,7 +253,7 @@
         (settings.caller_address, make_caller_handler, settings.max_body_bytes),
     ):
         host, _, port = address.rpartition(":")
-        server = HTTPServer(
+        server = DrainableServer(
             make_handler(shell), max_body_size=limit, max_buffer_size=limit * 2
         )
         server.listen(int(port), host.strip("[]"), reuse_port=False)
--- a/balsamdeal/proxydaemon.py
+++ b/balsamdeal/proxydaemon.py
@@ -61,7 +61,7 @@
                 linger_until_s, shell.control.last_failed_probe_s + LATE_ARRIVAL_S
             )
         await sleep(IDLE_POLL_S)
-    while not shell.proxy.is_idle() and loop.time() < deadline_s:
+    while not shell.is_idle() and loop.time() < deadline_s:
         await sleep(IDLE_POLL_S)
     shell.proxy.refuse_all()
     shell.handle(request_events.StopEnding(loop.time()))
@@ -107,7 +107,7 @@
         follower.cancel()
     feed.stop()
     shell.stop()
-    logger.info("stopped", extra={"idle": shell.proxy.is_idle()})
+    logger.info("stopped", extra={"idle": shell.is_idle()})
     return 0
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import socket
 
 from tests.platform.fleet import HOST, FleetCase, make_rules
@@ -319,6 +320,43 @@
         code = await asyncio.to_thread(self.processes[0].wait, 6.0)
         self.assertEqual(code, 0)
 
+    # Guards against a large answer that is cut off by a planned stop, as the process
+    # ends before its receiver has taken all of it (review/5).
+    async def test_sigterm_cuts_off_no_answer_that_is_on_its_way(self):
+        # The answer ends before the node has to, also on a busy machine.
+        bounds = {"grace-s": 40, "retry-budget-ratio": 0.2}
+        self.write_settings(0, bounds=bounds)
+        self.signal_node(0, 1)
+
+        async def is_reloaded():
+            return "settings reloaded" in self.read_logs()
+
+        await self.wait_for(is_reloaded, 5.0)
+        for server in self.servers:
+            # More than the kernel buffers.
+            server.padding = bytes(8_000_000)
+        receiver = socket.socket()
+        self.addCleanup(receiver.close)
+        receiver.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        receiver.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1400)
+        receiver.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(receiver, (self.get_ip(0), self.ports[1]))
+        lines = ["GET /safe/1 HTTP/1.1", f"Host: {HOST}", "X-Request-Id: r1"]
+        await loop.sock_sendall(receiver, "\r\n".join([*lines, "", ""]).encode())
+        received = await loop.sock_recv(receiver, 1000)
+        length = int(re.search(rb"Content-Length: (\d+)", received)[1])
+        whole = received.index(b"\r\n\r\n") + 4 + length
+        self.signal_node(0, 15)
+        # The answer takes about 4 s. A node whose callers have left ends after 3.2 s.
+        size = len(received)
+        while size < whole:
+            chunk = await loop.sock_recv(receiver, 20_000)
+            self.assertTrue(chunk, f"{size} of {whole} bytes")
+            size += len(chunk)
+            await asyncio.sleep(0.01)
+        self.assertEqual(await asyncio.to_thread(self.processes[0].wait, 40.0), 0)
+
     async def test_node_started_during_a_store_outage_answers_503(self):
         self.store.fault = 503
         self.signal_node(0)
--- a/tests/test_proxydaemon.py
+++ b/tests/test_proxydaemon.py
@@ -32,6 +32,11 @@
             action[1]()
         await asyncio.sleep(0)
 
+    def add_server(self, is_writing):
+        """Add a server with a connection whose receiver takes bytes slowly."""
+        server = SimpleNamespace(is_writing=is_writing, stop=lambda: None)
+        self.shell.servers.append(server)
+
     def schedule_probes(self, first_probe_s):
         """Schedule eight failed readiness probes of the platform, one per second."""
         for number in range(8):
@@ -86,6 +91,22 @@
         self.assertGreaterEqual(self.now_s, 3.0)
         self.assertLess(self.now_s, 3.5)
 
+    # Guards against answers that are cut off by the end of the process, as their
+    # receivers have not taken all bytes yet (review/5).
+    async def test_drain_waits_for_bytes_that_are_not_written(self):
+        self.schedule_probes(0.3)
+        self.add_server(lambda: self.now_s < 3.0)
+        await drain(self.shell, self.sleep)
+        self.assertGreaterEqual(self.now_s, 3.0)
+        self.assertLess(self.now_s, 3.5)
+
+    async def test_drain_ends_in_time_beside_a_receiver_that_takes_nothing(self):
+        self.schedule_probes(0.3)
+        self.add_server(lambda: True)
+        await drain(self.shell, self.sleep)
+        bound_s = STOP_BOUND_S - KILL_MARGIN_S
+        self.assertAlmostEqual(self.now_s, bound_s, delta=0.1)
+
     async def test_drain_sends_stop_request_to_reducer(self):
         self.schedule_probes(0.3)
         await drain(self.shell, self.sleep)
