--- a/tests/core/test_crashes.py
+++ b/tests/core/test_crashes.py
@@ -218,6 +218,20 @@
                     _, served, _ = fleet.compute_shares("/pickup/", 4.0, 9.0)
                     self.assertGreaterEqual(served, 0.9)
 
+    # Guards against a request that many callers send, ten times a second for 20 s, and
+    # that crashes its targets each time (deploy/days/deadly.toml).
+    def test_bad_request_of_many_callers_at_12_targets(self):
+        for seed in range(1, 5):
+            with self.subTest(seed):
+                fleet = self.make_fleet(12, seed)
+                self.offer(fleet, "/pickup/", 325)
+                self.offer_bad(fleet, per_s=10.0)
+                fleet.run(30.0)
+                self.check_late(fleet)
+                self.assertEqual(self.list_refused_innocents(fleet), [])
+                _, served, _ = fleet.compute_shares("/pickup/", 9.0, 20.0)
+                self.assertGreaterEqual(served, 0.99)
+
     # Guards against several such requests at once at the size of a grown site.
     def test_several_bad_requests_at_31_targets(self):
         for seed in (1, 2):
