--- a/balsamdeal/core/routes.py
+++ b/balsamdeal/core/routes.py
@@ -120,7 +120,9 @@
 
     def keep_routes(self, routes):
         """Drop the state of all routes but these."""
-        keys = {(route.name, route.backends) for route in routes}
+        keys = {
+            (route.name, route.backends) for route in routes if len(route.backends) > 1
+        }
         for key in self._turns.keys() - keys:
             del self._turns[key]
 
