--- a/tests/core/test_targets.py
+++ b/tests/core/test_targets.py
@@ -39,7 +39,7 @@
     return targets.apply_changes([(name, None, revision)], revision, now_s)
 
 
-class DrillTest(unittest.TestCase):
+class RestoredSourceTest(unittest.TestCase):
     """The source comes back from an older copy: revisions are given out again."""
 
     def setUp(self):
@@ -94,7 +94,7 @@
         self.assertIsNone(self.list.get_next_grace_end_s())
 
     # Guards against a living target that is never used again, as its entry lapsed
-    # before the drill and is not written again where it has not changed.
+    # before the restore and is not written again where it has not changed.
     def test_removed_target_is_used_if_it_is_not_removed_again(self):
         self.apply_copy()
         self.assertFalse(self.list.end_grace(10.0 + RELIST_GRACE_S - 0.1))
@@ -118,7 +118,7 @@
         self.apply_copy(11.0)
         self.assertTrue(self.list.targets["a"].leaving)
 
-    # Guards against an answer that was on its way during the drill.
+    # Guards against an answer that was on its way during the restore.
     def test_late_list_of_the_earlier_era_changes_nothing(self):
         self.apply_copy()
         before = dict(self.list.targets)
@@ -126,8 +126,9 @@
         self.assertEqual(self.list.targets, before)
         self.assertEqual(self.list.revision, Revision(2, 95))
 
-    # Guards against a grace time that ends before the second drill's entries are back.
-    def test_second_drill_gives_entries_as_long_again(self):
+    # Guards against a grace time that ends before entries are back from the second
+    # restore.
+    def test_second_restore_gives_entries_as_long_again(self):
         self.apply_copy()
         self.apply_copy(11.5, era=3)
         self.list.end_grace(10.0 + RELIST_GRACE_S)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -268,7 +268,7 @@
         self.assertEqual(self.store.calls - calls, 3)
 
 
-class DrillTest(StoreReaderFixture, unittest.IsolatedAsyncioTestCase):
+class RestoredSourceTest(StoreReaderFixture, unittest.IsolatedAsyncioTestCase):
     """The store comes back from an older copy: revisions are given out again."""
 
     # Guards against a version that is skipped for good, as the one that was lost had
@@ -309,7 +309,7 @@
             self.assertEqual(await self.read_configuration(4), (4, None))
 
     # Guards against targets whose changes lie between the copy and the watch's start.
-    async def test_target_watch_across_a_drill_raises_on_lost_history(self):
+    async def test_target_watch_across_a_restore_raises_on_lost_history(self):
         copy = self.store.copy()
         self.put_servers(2)
         revision = (await self.reader.read_targets()).revision
@@ -322,8 +322,8 @@
         update = await self.reader.read_targets()
         self.assertEqual(update.revision, Revision(2, self.store.revision))
 
-    # Guards against a list whose pages come from both sides of a drill.
-    async def test_list_across_a_drill_raises_on_lost_history(self):
+    # Guards against a list whose pages come from both sides of a restore.
+    async def test_list_across_a_restore_raises_on_lost_history(self):
         self.put_servers(8)
         self.store.delay_s = 0.1
         listing = asyncio.ensure_future(self.reader.read_targets())
@@ -332,7 +332,7 @@
         with self.assertRaises(HistoryLostError):
             await listing
 
-    # Guards against an answer from before the drill that is late on its connection.
+    # Guards against an answer from before the restore that is late on its connection.
     async def test_late_answer_of_the_earlier_era_is_an_error(self):
         self.put_servers(2)
         self.store.delay_s = 0.2
@@ -361,7 +361,7 @@
 
     # Guards against targets that stay in use after they have left, as they left at a
     # revision below the one known of them (review/2).
-    async def test_targets_that_leave_after_a_drill_are_followed(self):
+    async def test_targets_that_leave_after_a_restore_are_followed(self):
         proxy = Proxy("node-a", "erie", 1)
         self.shell.proxy, self.shell.loop = proxy, asyncio.get_running_loop()
         copy = self.store.copy()
