--- a/tests/net/test_connections.py
+++ b/tests/net/test_connections.py
@@ -115,6 +115,17 @@
             await self.fetch()
 
 
+class TargetFixture:
+    """A pool for a target, whose connections ``serve`` handles."""
+
+    async def asyncSetUp(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.pool = ConnectionPool(1000, allow_unframed=True)
+        self.addCleanup(self.pool.close)
+
+
 def make_refusal(request_id):
     """Return a server's answer that it did not run a request."""
     echoed = f"X-Request-Id: {request_id}\r\n" if request_id else ""
@@ -128,17 +139,13 @@
     return f"{head}\r\n\r\nran".encode()
 
 
-class CopiedRefusalTest(unittest.IsolatedAsyncioTestCase):
+class CopiedRefusalTest(TargetFixture, unittest.IsolatedAsyncioTestCase):
     """A server writes an earlier refusal once more on a kept connection."""
 
     async def asyncSetUp(self):
         self.connections = 0
         self.answers = []
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        self.pool = ConnectionPool(1000, allow_unframed=True)
-        self.addCleanup(self.pool.close)
+        await super().asyncSetUp()
 
     async def serve(self, reader, writer):
         """Answer each request on a connection by the next entry of its script."""
@@ -213,17 +220,13 @@
 UNTIL_CLOSE = HEAD + b"\r\nwhole"
 
 
-class CutAnswerTest(unittest.IsolatedAsyncioTestCase):
+class CutAnswerTest(TargetFixture, unittest.IsolatedAsyncioTestCase):
     """A server stops in its answer, and closes or resets the connection."""
 
     async def asyncSetUp(self):
         self.answer = b""
         self.close = None
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        self.pool = ConnectionPool(1000, allow_unframed=True)
-        self.addCleanup(self.pool.close)
+        await super().asyncSetUp()
 
     async def serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
